Add the tables module and the queue of one upstream

Cause: both are needed by the query path and have no I/O. Change: a pure parser of the two tables that lists every fault, a diff, and the slot queue of one upstream: rank order, floors by credit that accrues only while work waits, fairness between callers, deadlines. Ruled out: floors by decayed served share, because below saturation every rank is under its share and a normal request would pass an urgent one.

--- /dev/null
+++ b/src/base/types.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace flamingousher::base {
+
+// Monotonic time. The core never reads a clock: every call receives the current time.
+using TimePoint = std::chrono::steady_clock::time_point;
+using Duration = std::chrono::steady_clock::duration;
+
+// Importance of a request, most urgent first.
+enum class Rank : std::uint8_t {
+    Urgent,
+    Normal,
+    Background,
+};
+
+inline constexpr std::size_t RankCount = 3;
+inline constexpr std::array<Rank, RankCount> AllRanks { Rank::Urgent, Rank::Normal, Rank::Background };
+
+// What is proved about the execution of a request by an upstream.
+enum class RunState : std::uint8_t {
+    NotRun,
+    Run,
+    Unknown,
+};
+
+std::string_view toString(Rank);
+std::string_view toString(RunState);
+std::optional<Rank> rankFromString(std::string_view);
+
+constexpr std::size_t indexOf(Rank rank) { return static_cast<std::size_t>(rank); }
+
+double toMilliseconds(Duration);
+
+} // namespace flamingousher::base
--- /dev/null
+++ b/src/tables/internal/sectionreader.cpp
@@ -0,0 +1,94 @@
+#include "tables/internal/sectionreader.h"
+
+namespace flamingousher::tables {
+
+SectionReader::SectionReader(const std::string& table, const IniSection& section, std::vector<Fault>& faults)
+    : table_(table)
+    , section_(section)
+    , faults_(faults)
+{
+}
+
+const std::string* SectionReader::find(const std::string& key)
+{
+    known_.insert(key);
+    for (const auto& [name, value] : section_.entries) {
+        if (name == key)
+            return &value;
+    }
+    return nullptr;
+}
+
+std::string SectionReader::text(const std::string& key, const std::optional<std::string>& fallback)
+{
+    const std::string* value = find(key);
+    if (value && !value->empty())
+        return *value;
+    if (!fallback)
+        addFault(key, "is missing");
+    return fallback.value_or(std::string());
+}
+
+std::uint64_t SectionReader::integer(
+    const std::string& key, std::uint64_t least, std::uint64_t most, const std::optional<std::uint64_t>& fallback)
+{
+    const std::string* value = find(key);
+    if (!value && fallback)
+        return *fallback;
+    if (!value) {
+        addFault(key, "is missing");
+        return least;
+    }
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(value->data(), value->data() + value->size(), number);
+    if (error != std::errc() || end != value->data() + value->size()) {
+        addFault(key, "'" + *value + "' is not a whole number");
+        return least;
+    }
+    if (number < least || number > most) {
+        addFault(key, *value + " is not between " + std::to_string(least) + " and " + std::to_string(most));
+        return least;
+    }
+    return number;
+}
+
+double SectionReader::fraction(const std::string& key, double fallback)
+{
+    const std::string* value = find(key);
+    if (!value)
+        return fallback;
+    double number = 0;
+    const auto [end, error] = std::from_chars(value->data(), value->data() + value->size(), number);
+    if (error != std::errc() || end != value->data() + value->size() || !(number >= 0 && number <= 1)) {
+        addFault(key, "'" + *value + "' is not a number between 0 and 1");
+        return fallback;
+    }
+    return number;
+}
+
+bool SectionReader::flag(const std::string& key, bool fallback)
+{
+    const std::string* value = find(key);
+    if (!value)
+        return fallback;
+    if (*value == "yes")
+        return true;
+    if (*value != "no")
+        addFault(key, "'" + *value + "' is neither yes nor no");
+    return false;
+}
+
+void SectionReader::rejectUnknownKeys()
+{
+    for (const auto& [key, value] : section_.entries) {
+        if (!known_.contains(key))
+            addFault(key, "is not a known key");
+    }
+}
+
+void SectionReader::addFault(const std::string& key, const std::string& message)
+{
+    faults_.push_back({ table_, section_.name, key, message });
+}
+
+} // namespace flamingousher::tables
