--- /dev/null
+++ b/src/query/replicachooser.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "query/types.h"
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace flamingousher::query {
+
+// Chooses between replicas by what this process has observed of them: latency, work in flight and
+// failures. Health and load endpoints have no say.
+class ReplicaChooser {
+public:
+    // random: uniform numbers below the argument. nearness: factor of at least 1 for far zones.
+    struct Hooks {
+        std::function<std::size_t(std::size_t bound)> random;
+        std::function<double(UpstreamId)> distance;
+    };
+
+    explicit ReplicaChooser(Hooks);
+
+    // Power of two choices over expected latency. Ejected and draining upstreams are passed over, unless
+    // more than half of the candidates are ejected.
+    std::optional<UpstreamId> choose(const std::vector<UpstreamId>& candidates, base::TimePoint now);
+
+    void onSent(UpstreamId, base::TimePoint now);
+    void onAnswered(UpstreamId, base::Duration latency, base::TimePoint now);
+
+    // A failure that is evidence against the upstream. Cancelled and refused work is not.
+    void onFailed(UpstreamId, base::TimePoint now);
+
+    // The sub-request ended in a way that says nothing about the upstream.
+    void onReleased(UpstreamId);
+
+    void setDraining(UpstreamId, bool isDraining);
+    bool isEjected(UpstreamId, base::TimePoint now) const;
+
+private:
+    struct Stats {
+        double latencyMs { 0 };
+        std::uint32_t inFlight { 0 };
+        std::uint32_t consecutiveFailures { 0 };
+        std::uint32_t ejections { 0 };
+        std::uint32_t answers { 0 };
+        bool isDraining { false };
+        base::TimePoint ejectedUntil;
+        base::TimePoint usableSince;
+    };
+
+    Stats& stats(UpstreamId);
+    double cost(UpstreamId, base::TimePoint now);
+    bool mayReceive(UpstreamId, base::TimePoint now);
+
+    Hooks hooks_;
+    std::vector<Stats> stats_;
+};
+
+} // namespace flamingousher::query
--- /dev/null
+++ b/src/query/snapshotcatalog.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "query/types.h"
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace flamingousher::query {
+
+// Knows which index versions the upstreams of one pool serve and plans queries for one of them.
+class SnapshotCatalog {
+public:
+    // Replaces what one upstream serves. Ignores reports with an impossible shard.
+    void setServed(UpstreamId, const std::vector<ServedShard>&);
+
+    // Records that an upstream no longer serves a version.
+    void removeVersion(UpstreamId, IndexVersion);
+
+    // An upstream that is not usable (draining, removed) stays known but is not planned for.
+    void setUsable(UpstreamId, bool isUsable);
+
+    // The newest version of which every shard has a usable replica. Without one, the version with the
+    // greatest fraction of shards covered, the newest of equals. Null when nothing is served.
+    std::shared_ptr<const ShardPlan> bestPlan() const;
+
+    std::vector<ServedShard> servedBy(UpstreamId) const;
+
+private:
+    struct Entry {
+        std::vector<ServedShard> served;
+        bool isUsable { true };
+    };
+
+    void invalidate() { cached_ = nullptr; }
+    std::shared_ptr<const ShardPlan> computeBestPlan() const;
+
+    std::map<UpstreamId, Entry> entries_;
+    mutable std::shared_ptr<const ShardPlan> cached_;
+};
+
+} // namespace flamingousher::query
--- /dev/null
+++ b/src/query/tests/querytests.cpp
@@ -0,0 +1,247 @@
+#include "query/query.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <utility>
+
+using namespace flamingousher;
+using namespace flamingousher::query;
+using base::ErrorCode;
+using base::RunState;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const base::TimePoint Start { seconds(1000) };
+
+// Drives one query with two replicas a shard: shard s has replicas 2s and 2s + 1.
+class Harness {
+public:
+    explicit Harness(std::uint32_t shards, QuerySpec spec = {})
+        : plan_(makePlan(42, shards))
+        , query_(withDeadline(spec), hooks())
+    {
+    }
+
+    static std::shared_ptr<const ShardPlan> makePlan(IndexVersion version, std::uint32_t shards)
+    {
+        ShardPlan plan { version, {} };
+        for (std::uint32_t shard = 0; shard < shards; ++shard)
+            plan.replicas.push_back({ 2 * shard, 2 * shard + 1 });
+        return std::make_shared<const ShardPlan>(std::move(plan));
+    }
+
+    void start() { apply(query_.start(Start)); }
+
+    void answer(const SendSubRequest& request, const std::string& hitId, base::TimePoint now = Start + milliseconds(1))
+    {
+        apply(query_.onAnswer(request.id, { request.target, { { hitId, "", 1.0 } } }, now));
+    }
+
+    void answerAll()
+    {
+        const std::vector<SendSubRequest> pending = std::exchange(sent_, {});
+        for (const SendSubRequest& request : pending)
+            answer(request, "hit-" + std::to_string(request.target.shard));
+    }
+
+    void fail(const SendSubRequest& request, ErrorCode code, base::TimePoint now = Start + milliseconds(1))
+    {
+        apply(query_.onFailure(request.id, { code, base::Step::Receive, "u", "", RunState::Unknown }, now));
+    }
+
+    void tick(base::TimePoint now) { apply(query_.onTimer(now)); }
+
+    std::vector<SendSubRequest> sent_;
+    std::vector<CancelSubRequest> cancelled_;
+    std::optional<QueryOutcome> outcome_;
+    std::shared_ptr<const ShardPlan> plan_;
+    bool mayHedge_ { true };
+    bool mayRetry_ { true };
+    bool mayChoose_ { true };
+    SubRequestId lastId_ { 0 };
+    Query query_;
+
+private:
+    static QuerySpec withDeadline(QuerySpec spec)
+    {
+        spec.deadline = Start + milliseconds(86);
+        return spec;
+    }
+
+    QueryHooks hooks()
+    {
+        return {
+            [this] { return plan_; },
+            [this](const std::vector<UpstreamId>& candidates) {
+                return mayChoose_ ? std::optional(candidates.front()) : std::nullopt;
+            },
+            [] { return milliseconds(10); },
+            [this] { return mayHedge_; },
+            [this] { return mayRetry_; },
+            [this] { return ++lastId_; },
+        };
+    }
+
+    void apply(const std::vector<Action>& actions)
+    {
+        for (const Action& action : actions) {
+            if (const auto* send = std::get_if<SendSubRequest>(&action))
+                sent_.push_back(*send);
+            else if (const auto* cancel = std::get_if<CancelSubRequest>(&action))
+                cancelled_.push_back(*cancel);
+            else
+                outcome_ = std::get<FinishQuery>(action).outcome;
+        }
+    }
+};
+
+} // namespace
+
+Test(Query, mergesOneAnswerOfEveryShard)
+{
+    Harness harness(75);
+    harness.start();
+    cr_expect_eq(harness.sent_.size(), 75u);
+    harness.answerAll();
+    cr_assert(harness.outcome_.has_value());
+    cr_expect_not(harness.outcome_->error.has_value());
+    cr_expect_not(harness.outcome_->isPartial());
+    cr_expect_eq(harness.outcome_->version, 42u);
+    cr_expect_eq(harness.outcome_->hits.size(), 10u);
+}
+
+Test(Query, statesMissingShardsAtTheDeadline)
+{
+    Harness harness(3, { .leastCoverage = 0.5 });
+    harness.mayHedge_ = false;
+    harness.start();
+    harness.answer(harness.sent_[0], "a");
+    harness.answer(harness.sent_[2], "c");
+    harness.tick(Start + milliseconds(86));
+    cr_assert(harness.outcome_.has_value());
+    cr_expect_not(harness.outcome_->error.has_value());
+    cr_assert_eq(harness.outcome_->missing.size(), 1u);
+    cr_expect_eq(harness.outcome_->missing[0].shard, 1u);
+    cr_expect_eq(harness.outcome_->missing[0].reason.code, ErrorCode::DeadlineExceeded);
+    cr_expect_eq(harness.cancelled_.size(), 1u, "the straggler is cancelled");
+}
+
+Test(Query, refusesCoverageBelowTheLeast)
+{
+    Harness harness(4, { .leastCoverage = 0.75 });
+    harness.mayHedge_ = false;
+    harness.start();
+    harness.answer(harness.sent_[0], "a");
+    harness.tick(Start + milliseconds(86));
+    cr_assert(harness.outcome_.has_value());
+    cr_expect_eq(harness.outcome_->error->code, ErrorCode::CoverageTooLow);
+    cr_expect_eq(harness.outcome_->error->runState, RunState::Run);
+    cr_expect(harness.outcome_->hits.empty());
+}
+
+Test(Query, stopsEarlyWhenLeastCoverageIsOutOfReach)
+{
+    Harness harness(4, { .leastCoverage = 0.75 });
+    harness.mayRetry_ = false;
+    harness.start();
+    harness.fail(harness.sent_[0], ErrorCode::ConnectionLost);
+    cr_expect_not(harness.outcome_.has_value());
+    harness.fail(harness.sent_[1], ErrorCode::ConnectionLost);
+    cr_assert(harness.outcome_.has_value());
+    cr_expect_eq(harness.cancelled_.size(), 2u);
+}
+
+Test(Query, saysNotRunWhenNothingWasSent)
+{
+    Harness harness(4);
+    harness.mayChoose_ = false;
+    harness.start();
+    cr_assert(harness.outcome_.has_value());
+    cr_expect(harness.sent_.empty());
+    cr_expect_eq(harness.outcome_->error->runState, RunState::NotRun);
+}
+
+Test(Query, hedgesSlowShardOnceAndCancelsLoser)
+{
+    Harness harness(2);
+    harness.start();
+    harness.answer(harness.sent_[0], "a");
+    harness.tick(Start + milliseconds(10));
+    cr_assert_eq(harness.sent_.size(), 3u);
+    cr_expect(harness.sent_[2].isHedge);
+    cr_expect_neq(harness.sent_[2].upstream, harness.sent_[1].upstream);
+    harness.tick(Start + milliseconds(20));
+    cr_expect_eq(harness.sent_.size(), 3u, "a shard is hedged once");
+    harness.answer(harness.sent_[2], "b");
+    cr_assert_eq(harness.cancelled_.size(), 1u);
+    cr_expect_eq(harness.cancelled_[0].id, harness.sent_[1].id);
+    cr_expect_not(harness.outcome_->isPartial());
+}
+
+Test(Query, dropsLateAndDuplicatedAnswers)
+{
+    Harness harness(2);
+    harness.start();
+    const SendSubRequest first = harness.sent_[0];
+    harness.answer(first, "a");
+    harness.answer(first, "a");
+    cr_expect_eq(harness.query_.unmatchedCount(), 1u);
+    cr_expect_not(harness.outcome_.has_value(), "a duplicate does not count for another shard");
+}
+
+Test(Query, neverCountsAnswerOfAnotherVersionOrPartitioning)
+{
+    Harness harness(2, { .allowsPartial = true });
+    harness.mayRetry_ = false;
+    harness.start();
+    SubAnswer wrongVersion { { 43, 0, 2 }, { { "x", "", 9 } } };
+    harness.query_.onAnswer(harness.sent_[0].id, wrongVersion, Start);
+    harness.answer(harness.sent_[1], "b");
+    cr_assert(harness.outcome_.has_value());
+    cr_expect_eq(harness.outcome_->missing.size(), 1u);
+    cr_expect_eq(harness.outcome_->hits.size(), 1u);
+    cr_expect_eq(harness.outcome_->hits[0].id, "b");
+}
+
+Test(Query, retriesAnotherReplicaWithinBudget)
+{
+    Harness harness(1);
+    harness.start();
+    harness.fail(harness.sent_[0], ErrorCode::ConnectionLost);
+    cr_assert_eq(harness.sent_.size(), 2u);
+    cr_expect_neq(harness.sent_[1].upstream, harness.sent_[0].upstream);
+    harness.answer(harness.sent_[1], "a");
+    cr_expect_eq(harness.outcome_->retries, 1u);
+}
+
+Test(Query, restartsOnANewerVersionWhenItsOwnHasGone)
+{
+    Harness harness(2);
+    harness.start();
+    harness.answer(harness.sent_[0], "old");
+    harness.plan_ = Harness::makePlan(43, 3);
+    harness.fail(harness.sent_[1], ErrorCode::VersionNotServed);
+    harness.fail(harness.sent_[2], ErrorCode::VersionNotServed);
+    cr_assert_eq(harness.sent_.size(), 6u);
+    harness.sent_.erase(harness.sent_.begin(), harness.sent_.begin() + 3);
+    harness.answerAll();
+    cr_assert(harness.outcome_.has_value());
+    cr_expect_eq(harness.outcome_->version, 43u);
+    cr_expect_eq(harness.outcome_->shardsAsked, 3u);
+    cr_expect(std::ranges::none_of(harness.outcome_->hits, [](const Hit& hit) { return hit.id == "old"; }));
+}
+
+Test(Query, cancelsEverythingWhenTheCallerGoes)
+{
+    Harness harness(5);
+    harness.start();
+    for (const Action& action : harness.query_.abandon(Start)) {
+        if (const auto* cancel = std::get_if<CancelSubRequest>(&action))
+            harness.cancelled_.push_back(*cancel);
+    }
+    cr_expect_eq(harness.cancelled_.size(), 5u);
+    cr_expect(harness.query_.isFinished());
+}
--- /dev/null
+++ b/src/query/tests/replicachoosertests.cpp
@@ -0,0 +1,134 @@
+#include "query/latencyestimate.h"
+#include "query/loadbudget.h"
+#include "query/replicachooser.h"
+
+#include <criterion/criterion.h>
+
+#include <random>
+
+using namespace flamingousher;
+using namespace flamingousher::query;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const base::TimePoint Start { seconds(1000) };
+
+class Chooser {
+public:
+    explicit Chooser(std::uint64_t seed)
+        : random_(seed)
+        , chooser_({ [this](std::size_t bound) { return random_() % bound; }, [](UpstreamId) { return 1.0; } })
+    {
+    }
+
+    ReplicaChooser& operator*() { return chooser_; }
+
+    int countChoices(UpstreamId wanted, const std::vector<UpstreamId>& candidates, base::TimePoint now)
+    {
+        int count = 0;
+        for (int round = 0; round < 100; ++round)
+            count += chooser_.choose(candidates, now) == wanted ? 1 : 0;
+        return count;
+    }
+
+private:
+    std::mt19937_64 random_;
+    ReplicaChooser chooser_;
+};
+
+void observe(ReplicaChooser& chooser, UpstreamId upstream, milliseconds latency)
+{
+    for (int round = 0; round < 60; ++round) {
+        chooser.onSent(upstream, Start);
+        chooser.onAnswered(upstream, latency, Start);
+    }
+}
+
+void failThreeTimes(ReplicaChooser& chooser, UpstreamId upstream)
+{
+    for (int round = 0; round < 3; ++round) {
+        chooser.onSent(upstream, Start);
+        chooser.onFailed(upstream, Start);
+    }
+}
+
+} // namespace
+
+Test(ReplicaChooser, avoidsSlowReplica)
+{
+    Chooser chooser(1);
+    observe(*chooser, 0, milliseconds(100));
+    observe(*chooser, 1, milliseconds(5));
+    observe(*chooser, 2, milliseconds(5));
+    cr_expect_leq(chooser.countChoices(0, { 0, 1, 2 }, Start), 25);
+}
+
+Test(ReplicaChooser, avoidsReplicaWithWorkInFlight)
+{
+    Chooser chooser(2);
+    for (int round = 0; round < 10; ++round)
+        (*chooser).onSent(0, Start);
+    cr_expect_leq(chooser.countChoices(0, { 0, 1 }, Start), 40);
+}
+
+Test(ReplicaChooser, ejectsAfterRepeatedFailuresAndForgivesInTime)
+{
+    Chooser chooser(3);
+    failThreeTimes(*chooser, 0);
+    cr_expect((*chooser).isEjected(0, Start));
+    cr_expect_eq(chooser.countChoices(0, { 0, 1, 2 }, Start), 0);
+    cr_expect_gt(chooser.countChoices(0, { 0, 1, 2 }, Start + seconds(2)), 0);
+}
+
+Test(ReplicaChooser, doesNotTrustEjectionOfMostReplicas)
+{
+    Chooser chooser(4);
+    failThreeTimes(*chooser, 0);
+    failThreeTimes(*chooser, 1);
+    cr_expect_gt(chooser.countChoices(0, { 0, 1, 2 }, Start), 0);
+}
+
+Test(ReplicaChooser, neverChoosesDrainingReplica)
+{
+    Chooser chooser(5);
+    (*chooser).setDraining(0, true);
+    cr_expect_eq(chooser.countChoices(0, { 0, 1 }, Start), 0);
+    cr_expect_not((*chooser).choose({ 0 }, Start).has_value());
+}
+
+Test(LoadBudget, allowsAFractionOfFirstAttempts)
+{
+    LoadBudget budget(0.05);
+    int taken = 0;
+    for (int attempt = 0; attempt < 10'000; ++attempt) {
+        budget.onFirstAttempt();
+        taken += budget.take(Start) ? 1 : 0;
+    }
+    cr_expect_leq(taken, 500);
+    cr_expect_geq(taken, 490);
+}
+
+Test(LoadBudget, givesNothingWhileUpstreamsShed)
+{
+    LoadBudget budget(0.05);
+    for (int attempt = 0; attempt < 100; ++attempt)
+        budget.onFirstAttempt();
+    budget.onShed(Start);
+    for (int attempt = 0; attempt < 100; ++attempt)
+        budget.onFirstAttempt();
+    cr_expect_not(budget.take(Start + milliseconds(999)));
+    cr_expect(budget.take(Start + milliseconds(1000)));
+}
+
+Test(LatencyEstimate, learnsQuantileWithinABin)
+{
+    LatencyEstimate estimate(milliseconds(20));
+    cr_expect(estimate.quantile(0.95) == milliseconds(20));
+    for (int value = 1; value <= 1000; ++value)
+        estimate.observe(milliseconds(value % 100 + 1));
+    const double learnt = base::toMilliseconds(estimate.quantile(0.95));
+    cr_expect_geq(learnt, 95.0);
+    cr_expect_leq(learnt, 120.0);
+}
--- /dev/null
+++ b/src/query/types.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "base/error.h"
+#include "base/types.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace flamingousher::query {
+
+// Handle of an upstream, stable while the process runs.
+using UpstreamId = std::uint32_t;
+
+// Identifies a sub-request within one process incarnation. Never reused.
+using SubRequestId = std::uint64_t;
+
+// Number of a published index. Zero means none.
+using IndexVersion = std::uint64_t;
+
+// One shard of one index version as an upstream serves it. The shard count identifies the partitioning.
+struct ServedShard {
+    IndexVersion version { 0 };
+    std::uint32_t shard { 0 };
+    std::uint32_t shards { 0 };
+
+    auto operator<=>(const ServedShard&) const = default;
+};
+
+struct Hit {
+    std::string id;
+    std::string title;
+    double score { 0 };
+
+    bool operator==(const Hit&) const = default;
+};
+
+// The replicas that serve each shard of one index version.
+struct ShardPlan {
+    IndexVersion version { 0 };
+    std::vector<std::vector<UpstreamId>> replicas; // indexed by shard
+
+    bool operator==(const ShardPlan&) const = default;
+};
+
+struct QuerySpec {
+    base::TimePoint deadline;
+    bool allowsPartial { true };
+    double leastCoverage { 0 }; // fraction of shards
+    bool allowsHedging { true };
+    std::size_t resultLimit { 10 }; // hits kept, over all shards
+
+    bool operator==(const QuerySpec&) const = default;
+};
+
+// Starts a sub-request to one replica of one shard.
+struct SendSubRequest {
+    SubRequestId id { 0 };
+    UpstreamId upstream { 0 };
+    ServedShard target;
+    bool isHedge { false };
+
+    bool operator==(const SendSubRequest&) const = default;
+};
+
+// Tells the upstream that the answer is no longer wanted.
+struct CancelSubRequest {
+    SubRequestId id { 0 };
+    UpstreamId upstream { 0 };
+
+    bool operator==(const CancelSubRequest&) const = default;
+};
+
+struct MissingShard {
+    std::uint32_t shard { 0 };
+    base::Error reason;
+
+    bool operator==(const MissingShard&) const = default;
+};
+
+// The result of a query. Hits are set unless there is an error.
+struct QueryOutcome {
+    std::optional<base::Error> error;
+    IndexVersion version { 0 };
+    std::uint32_t shardsAsked { 0 };
+    std::vector<MissingShard> missing;
+    std::vector<Hit> hits;
+    std::uint32_t hedges { 0 };
+    std::uint32_t retries { 0 };
+    std::uint32_t restarts { 0 };
+
+    bool operator==(const QueryOutcome&) const = default;
+
+    std::uint32_t shardsAnswered() const { return shardsAsked - static_cast<std::uint32_t>(missing.size()); }
+    bool isPartial() const { return !missing.empty(); }
+};
+
+struct FinishQuery {
+    QueryOutcome outcome;
+
+    bool operator==(const FinishQuery&) const = default;
+};
+
+using Action = std::variant<SendSubRequest, CancelSubRequest, FinishQuery>;
+
+// Answer of one upstream to one sub-request.
+struct SubAnswer {
+    ServedShard served;
+    std::vector<Hit> hits;
+
+    bool operator==(const SubAnswer&) const = default;
+};
+
+} // namespace flamingousher::query
--- /dev/null
+++ b/src/runtime/asiosources.cpp
@@ -0,0 +1,2 @@
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/src/runtime/internal/fiberscheduler.cpp
@@ -0,0 +1,54 @@
+#include "runtime/internal/fiberscheduler.h"
+
+#include <boost/asio/post.hpp>
+
+namespace flamingousher::runtime {
+
+namespace {
+
+    // Fibers that may run between two looks at the I/O context.
+    constexpr std::uint32_t PicksBetweenPolls = 64;
+
+} // namespace
+
+FiberScheduler::FiberScheduler(boost::asio::io_context& io)
+    : io_(io)
+    , timer_(io)
+{
+}
+
+void FiberScheduler::awakened(boost::fibers::context* context) noexcept { context->ready_link(ready_); }
+
+boost::fibers::context* FiberScheduler::pick_next() noexcept
+{
+    if (++picksSincePoll_ >= PicksBetweenPolls) {
+        picksSincePoll_ = 0;
+        io_.poll();
+    }
+    if (ready_.empty())
+        return nullptr;
+    boost::fibers::context* next = &ready_.front();
+    ready_.pop_front();
+    return next;
+}
+
+bool FiberScheduler::has_ready_fibers() const noexcept { return !ready_.empty(); }
+
+void FiberScheduler::suspend_until(const std::chrono::steady_clock::time_point& until) noexcept
+{
+    picksSincePoll_ = 0;
+    if (until != std::chrono::steady_clock::time_point::max()) {
+        timer_.expires_at(until);
+        timer_.async_wait([](const boost::system::error_code&) {});
+    }
+    if (io_.poll() == 0 && ready_.empty())
+        io_.run_one();
+    timer_.cancel();
+}
+
+void FiberScheduler::notify() noexcept
+{
+    boost::asio::post(io_, [] {});
+}
+
+} // namespace flamingousher::runtime
--- /dev/null
+++ b/src/runtime/tests/fiberthreadtests.cpp
@@ -0,0 +1,90 @@
+#include "runtime/fiberthread.h"
+#include "runtime/usefiber.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace flamingousher::runtime;
+using boost::asio::ip::tcp;
+
+Test(FiberThread, returnsResultOfACall)
+{
+    FiberThread thread("test");
+    cr_expect_eq(thread.call([] { return 42; }), 42);
+}
+
+Test(FiberThread, suspendsFiberUntilOperationCompletes)
+{
+    FiberThread thread("test");
+    const bool didWait = thread.call([&] {
+        boost::asio::steady_timer timer(thread.io(), std::chrono::milliseconds(5));
+        timer.async_wait(useFiber);
+        return timer.expiry() <= std::chrono::steady_clock::now();
+    });
+    cr_expect(didWait);
+}
+
+Test(FiberThread, storesErrorOfOperation)
+{
+    FiberThread thread("test");
+    const bool isRefused = thread.call([&] {
+        tcp::socket socket(thread.io());
+        boost::system::error_code error;
+        socket.async_connect({ boost::asio::ip::make_address("127.0.0.1"), 1 }, useFiber[error]);
+        return error == boost::asio::error::connection_refused;
+    });
+    cr_expect(isRefused);
+}
+
+Test(FiberThread, pollsIoWhileFibersAreAlwaysReady)
+{
+    FiberThread thread("test");
+    const bool didFire = thread.call([&] {
+        bool isDone = false;
+        spawnFiber([&] {
+            boost::asio::steady_timer timer(thread.io(), std::chrono::milliseconds(1));
+            timer.async_wait(useFiber);
+            isDone = true;
+        });
+        for (int round = 0; round < 50'000'000 && !isDone; ++round)
+            boost::this_fiber::yield();
+        return isDone;
+    });
+    cr_expect(didFire);
+}
+
+Test(FiberThread, echoesBetweenManyFibers)
+{
+    constexpr int Connections = 50;
+    FiberThread thread("test");
+    const int echoed = thread.call([&] {
+        tcp::acceptor acceptor(thread.io(), { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        spawnFiber([&] {
+            for (int count = 0; count < Connections; ++count) {
+                auto socket = std::make_shared<tcp::socket>(acceptor.async_accept(useFiber));
+                spawnFiber([socket] {
+                    char byte = 0;
+                    boost::asio::async_read(*socket, boost::asio::buffer(&byte, 1), useFiber);
+                    boost::asio::async_write(*socket, boost::asio::buffer(&byte, 1), useFiber);
+                });
+            }
+        });
+        int matched = 0;
+        for (int count = 0; count < Connections; ++count) {
+            tcp::socket socket(thread.io());
+            socket.async_connect(acceptor.local_endpoint(), useFiber);
+            char byte = static_cast<char>(count);
+            boost::asio::async_write(socket, boost::asio::buffer(&byte, 1), useFiber);
+            byte = -1;
+            boost::asio::async_read(socket, boost::asio::buffer(&byte, 1), useFiber);
+            matched += byte == static_cast<char>(count) ? 1 : 0;
+        }
+        return matched;
+    });
+    cr_expect_eq(echoed, Connections);
+}
