Add settings, metrics, request accounts, admission and the upstream link

Cause: the pieces round the cores that the daemon needs. Change: checked settings, metrics in the Prometheus text format, bounded accounts, a gate per rank that grows and shrinks with the slot wait, connections to one upstream with cancel, status, and a search for silent connections.

--- /dev/null
+++ b/src/admission/gate.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "admission/types.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace flamingousher::admission {
+
+// Limits the queries in progress of one rank towards one pool. The limit grows while sub-requests find free
+// slots and shrinks while they wait for them (additive increase, multiplicative decrease). Above the limit a
+// query waits if it can still be in time, and is refused otherwise. No caller is refused below its equal
+// share because of other callers.
+class Gate {
+public:
+    explicit Gate(GateSettings);
+
+    Decision request(TicketId, const std::string& caller, base::TimePoint deadline, base::TimePoint now);
+
+    // A query has ended. slotWait: the longest time one of its sub-requests waited for a slot.
+    void release(TicketId, base::Duration slotWait, base::Duration latency, base::TimePoint now);
+
+    // A caller has gone while it waited.
+    void withdraw(TicketId);
+
+    // Takes the waiting queries that may start now, and those that can no longer be in time.
+    struct Moved {
+        std::vector<TicketId> admitted;
+        std::vector<TicketId> expired;
+    };
+    Moved takeMoved(base::TimePoint now);
+
+    double limit() const { return limit_; }
+    std::size_t inProgress() const { return inProgress_.size(); }
+    std::size_t waiting() const { return waiting_.size(); }
+
+private:
+    struct Waiting {
+        std::string caller;
+        base::TimePoint deadline;
+    };
+
+    bool mayAdmit(const std::string& caller) const;
+    double shareOf(const std::string& caller) const;
+    void admit(TicketId, const std::string& caller);
+    base::Duration estimatedWait() const;
+    void removeWaiting(TicketId);
+
+    GateSettings settings_;
+    double limit_;
+    base::Duration meanLatency_ { std::chrono::milliseconds(20) };
+    base::TimePoint lastDecrease_;
+    std::unordered_map<TicketId, std::string> inProgress_;
+    std::map<std::string, std::size_t> inProgressByCaller_;
+    std::unordered_map<TicketId, Waiting> waiting_;
+    std::map<std::string, std::set<std::pair<base::TimePoint, TicketId>>> waitingByCaller_;
+};
+
+} // namespace flamingousher::admission
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,213 @@
+#include "http/server.h"
+
+#include "runtime/fiberthread.h"
+#include "runtime/usefiber.h"
+
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <sys/socket.h>
+
+namespace flamingousher::http {
+
+namespace beast = boost::beast;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using runtime::useFiber;
+
+namespace {
+
+    constexpr std::chrono::seconds RequestReadTimeout { 10 };
+    constexpr std::chrono::seconds ResponseWriteTimeout { 30 };
+    constexpr std::chrono::milliseconds AcceptPauseOnError { 10 };
+
+    std::string describe(const tcp::socket& socket)
+    {
+        error_code error;
+        const tcp::endpoint endpoint = socket.remote_endpoint(error);
+        return error ? "unknown" : endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+    }
+
+    // True when the peer has closed its side. Data of a next request does not count.
+    bool hasPeerClosed(tcp::socket& socket)
+    {
+        char byte = 0;
+        return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    }
+
+    // Calls onPeerGone when the peer closes the connection while a handler works.
+    class PeerWatch {
+    public:
+        PeerWatch(tcp::socket& socket, Exchange& exchange)
+            : watched_(std::make_shared<Watched>(Watched { &socket, &exchange }))
+        {
+            socket.async_wait(tcp::socket::wait_read, [watched = watched_](const error_code& error) {
+                if (error || !watched->exchange || !hasPeerClosed(*watched->socket) || !watched->exchange->onPeerGone)
+                    return;
+                std::exchange(watched->exchange->onPeerGone, nullptr)();
+            });
+        }
+
+        ~PeerWatch()
+        {
+            watched_->exchange = nullptr;
+            error_code ignored;
+            watched_->socket->cancel(ignored);
+        }
+
+        PeerWatch(const PeerWatch&) = delete;
+        PeerWatch& operator=(const PeerWatch&) = delete;
+
+    private:
+        struct Watched {
+            tcp::socket* socket;
+            Exchange* exchange;
+        };
+
+        std::shared_ptr<Watched> watched_;
+    };
+
+} // namespace
+
+Server::Server(boost::asio::io_context& io, ServerLimits limits, Handler handler)
+    : io_(io)
+    , state_(std::make_shared<State>())
+{
+    state_->limits = limits;
+    state_->handler = std::move(handler);
+}
+
+Server::~Server() { beginShutdown(); }
+
+error_code Server::listen(const Endpoint& endpoint, bool isShared)
+{
+    auto acceptor = std::make_shared<tcp::acceptor>(io_);
+    error_code error;
+    acceptor->open(endpoint.protocol(), error);
+    if (!error)
+        acceptor->set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error && isShared) {
+        using ReusePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+        acceptor->set_option(ReusePort(true), error);
+    }
+    if (!error)
+        acceptor->bind(endpoint, error);
+    if (!error)
+        acceptor->listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error)
+        return error;
+    acceptor_ = acceptor;
+    runtime::spawnFiber([this, acceptor] { acceptLoop(acceptor); });
+    return {};
+}
+
+Endpoint Server::localEndpoint() const { return acceptor_->local_endpoint(); }
+
+void Server::acceptLoop(const std::shared_ptr<tcp::acceptor>& acceptor)
+{
+    const std::shared_ptr<State> state = state_;
+    while (!state->isStopping) {
+        error_code error;
+        tcp::socket socket = acceptor->async_accept(useFiber[error]);
+        if (state->isStopping || error == boost::asio::error::operation_aborted)
+            return;
+        if (error) {
+            // For example: out of file descriptors. Connections in progress must be able to end first.
+            boost::asio::steady_timer pause(acceptor->get_executor(), AcceptPauseOnError);
+            pause.async_wait(useFiber[error]);
+            continue;
+        }
+        if (state->counters.open >= state->limits.connections) {
+            ++state->counters.refusedConnections;
+            continue;
+        }
+        ++state->counters.accepted;
+        socket.set_option(tcp::no_delay(true), error);
+        auto stream = std::make_shared<Stream>(std::move(socket));
+        runtime::spawnFiber([state, stream] { runSession(state, std::move(*stream)); });
+    }
+}
+
+void Server::runSession(const std::shared_ptr<State>& state, Stream stream)
+{
+    ++state->counters.open;
+    beast::flat_buffer buffer;
+    while (!state->isStopping && serveOne(*state, stream, buffer)) { }
+    --state->counters.open;
+    error_code ignored;
+    stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+bool Server::serveOne(State& state, Stream& stream, beast::flat_buffer& buffer)
+{
+    beast::http::request_parser<beast::http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(state.limits.headerBytes));
+    parser.body_limit(state.limits.bodyBytes);
+    error_code error;
+    if (buffer.size() == 0) {
+        // Between two requests a connection may be closed at once.
+        state.idleStreams.insert(&stream);
+        stream.expires_after(state.limits.idleTimeout);
+        buffer.commit(stream.async_read_some(buffer.prepare(2048), useFiber[error]));
+        state.idleStreams.erase(&stream);
+        if (error)
+            return false;
+    }
+    stream.expires_after(RequestReadTimeout);
+    beast::http::async_read(stream, buffer, parser, useFiber[error]);
+    if (error) {
+        refuseMalformed(state, stream, error);
+        return false;
+    }
+    ++state.counters.requests;
+    ++state.requestsInProgress;
+    const Request request = parser.release();
+    Exchange exchange { describe(stream.socket()), {} };
+    stream.expires_never();
+    Response response;
+    {
+        const PeerWatch watch(stream.socket(), exchange);
+        response = state.handler(request, exchange);
+    }
+    if (state.isStopping)
+        response.keep_alive(false);
+    stream.expires_after(ResponseWriteTimeout);
+    beast::http::async_write(stream, response, useFiber[error]);
+    --state.requestsInProgress;
+    return !error && response.keep_alive();
+}
+
+void Server::refuseMalformed(State& state, Stream& stream, const error_code& cause)
+{
+    if (cause == beast::http::error::end_of_stream || cause == boost::asio::error::eof
+        || cause == boost::asio::error::connection_reset || cause == boost::asio::error::operation_aborted)
+        return;
+    const bool isOversized = cause == beast::http::error::header_limit || cause == beast::http::error::body_limit;
+    ++(isOversized ? state.counters.oversizedRequests : state.counters.malformedRequests);
+    Request request;
+    request.version(11);
+    request.keep_alive(false);
+    const Status status = isOversized ? Status::payload_too_large : Status::bad_request;
+    Response response = makeJsonResponse(request, status,
+        R"({"error":"bad_request","step":"receive","run_state":"not run","detail":")" + cause.message() + "\"}\n");
+    response.keep_alive(false);
+    error_code ignored;
+    stream.expires_after(RequestReadTimeout);
+    beast::http::async_write(stream, response, useFiber[ignored]);
+}
+
+void Server::beginShutdown()
+{
+    if (state_->isStopping)
+        return;
+    state_->isStopping = true;
+    error_code ignored;
+    if (acceptor_)
+        acceptor_->close(ignored);
+    for (Stream* stream : state_->idleStreams)
+        stream->cancel();
+}
+
+} // namespace flamingousher::http
--- /dev/null
+++ b/src/http/server.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "http/types.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <memory>
+#include <unordered_set>
+
+namespace flamingousher::http {
+
+// An HTTP/1.1 server on one address. Create, use and destroy it on the thread of its I/O context.
+class Server {
+public:
+    Server(boost::asio::io_context&, ServerLimits, Handler);
+    ~Server();
+    Server(const Server&) = delete;
+    Server& operator=(const Server&) = delete;
+
+    // Starts to listen. With sharing, several threads may listen on the same address.
+    boost::system::error_code listen(const Endpoint&, bool isShared = false);
+
+    // Stops to accept; connections close after the response in progress.
+    void beginShutdown();
+
+    bool isIdle() const { return state_->requestsInProgress == 0; }
+    const ServerCounters& counters() const { return state_->counters; }
+    Endpoint localEndpoint() const;
+
+private:
+    using Stream = boost::beast::tcp_stream;
+
+    // Shared with the session fibers, which may outlive the server.
+    struct State {
+        ServerLimits limits;
+        Handler handler;
+        ServerCounters counters;
+        std::size_t requestsInProgress { 0 };
+        bool isStopping { false };
+        std::unordered_set<Stream*> idleStreams;
+    };
+
+    void acceptLoop(const std::shared_ptr<boost::asio::ip::tcp::acceptor>&);
+    static void runSession(const std::shared_ptr<State>&, Stream);
+    static bool serveOne(State&, Stream&, boost::beast::flat_buffer&);
+    static void refuseMalformed(State&, Stream&, const boost::system::error_code&);
+
+    boost::asio::io_context& io_;
+    std::shared_ptr<State> state_;
+    std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
+};
+
+} // namespace flamingousher::http
--- /dev/null
+++ b/src/http/types.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace flamingousher::http {
+
+using Request = boost::beast::http::request<boost::beast::http::string_body>;
+using Response = boost::beast::http::response<boost::beast::http::string_body>;
+using Status = boost::beast::http::status;
+using Endpoint = boost::asio::ip::tcp::endpoint;
+
+struct ServerLimits {
+    std::size_t headerBytes { 16 * 1024 };
+    std::size_t bodyBytes { 1024 * 1024 };
+    std::chrono::milliseconds idleTimeout { 60'000 };
+    std::size_t connections { 4096 };
+};
+
+// What a handler learns of the connection while it works.
+struct Exchange {
+    std::string peer; // "address:port"
+    // Set by the handler; called at most once when the peer closes the connection before the response.
+    std::function<void()> onPeerGone;
+};
+
+// Produces the response to one request. Runs in a fiber of the server's thread.
+using Handler = std::function<Response(const Request&, Exchange&)>;
+
+// Counters of one server.
+struct ServerCounters {
+    std::uint64_t accepted { 0 };
+    std::uint64_t refusedConnections { 0 };
+    std::uint64_t requests { 0 };
+    std::uint64_t malformedRequests { 0 };
+    std::uint64_t oversizedRequests { 0 };
+    std::uint64_t open { 0 };
+};
+
+// The path and the decoded parameters of a request target.
+struct Target {
+    std::string path;
+    std::map<std::string, std::string> parameters;
+
+    bool operator==(const Target&) const = default;
+
+    std::string parameter(const std::string& name, const std::string& fallback = {}) const;
+};
+
+// Splits a request target and decodes its percent escapes.
+Target parseTarget(std::string_view target);
+
+// Encodes a parameter value with percent escapes.
+std::string encodeParameter(std::string_view value);
+
+Response makeResponse(const Request&, Status, const std::string& contentType, std::string body);
+Response makeJsonResponse(const Request&, Status, std::string body);
+
+} // namespace flamingousher::http
--- /dev/null
+++ b/src/http/urlsources.cpp
@@ -0,0 +1,1 @@
+#include <boost/url/src.hpp>
--- a/src/runtime/fiberthread.cpp
+++ b/src/runtime/fiberthread.cpp
@@ -9,6 +9,7 @@
 #include <boost/fiber/pooled_fixedsize_stack.hpp>
 
 #include <pthread.h>
+#include <unistd.h>
 
 namespace flamingousher::runtime {
 
@@ -51,8 +52,11 @@
     // The thread's own fiber only waits for the end; the scheduler runs the I/O context meanwhile.
     while (!io_.stopped())
         boost::this_fiber::sleep_for(std::chrono::milliseconds(50));
-    // Fibers that still wait for I/O would keep the scheduler from ending, so the thread ends here.
-    pthread_exit(nullptr);
+    stopped_.set_value();
+    // A fiber scheduler ends only after all its fibers, and a fiber that waits for I/O never does once the
+    // context has stopped. The thread therefore sleeps until the process ends.
+    for (;;)
+        ::pause();
 }
 
 void FiberThread::stop()
@@ -60,7 +64,8 @@
     if (!thread_.joinable())
         return;
     io_.stop();
-    thread_.join();
+    stopped_.get_future().wait();
+    thread_.detach();
 }
 
 } // namespace flamingousher::runtime
--- a/src/runtime/fiberthread.h
+++ b/src/runtime/fiberthread.h
@@ -6,6 +6,7 @@
 #include <boost/fiber/future.hpp>
 
 #include <functional>
+#include <future>
 #include <string>
 #include <thread>
 
@@ -44,7 +45,7 @@
         return future.get();
     }
 
-    // Stops the thread. Fibers that have not ended are abandoned.
+    // Stops the thread. Fibers that have not ended are abandoned where they wait.
     void stop();
 
 private:
@@ -53,6 +54,7 @@
     std::string name_;
     boost::asio::io_context io_ { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    std::promise<void> stopped_;
     std::thread thread_;
 };
 
--- /dev/null
+++ b/src/settings/tests/daemonsettingstests.cpp
@@ -0,0 +1,49 @@
+#include "settings/daemonsettings.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace flamingousher::settings;
+
+namespace {
+
+const std::string Valid = "[node]\nname = vm-1\naddress = 127.0.0.1\nzone = a\n"
+                          "[listen]\ncallers = 127.0.0.1:8080\npeers = 127.0.0.1:8081\noperators = 127.0.0.1:8082\n"
+                          "[platform]\nconfiguration = 127.0.0.1:7000\nvms = 127.0.0.1:7000\n"
+                          "[peers]\nkey = 0123456789abcdef\n";
+
+bool rejects(const std::string& text, const std::string& expected)
+{
+    const auto settings = parseSettings("f.ini", text);
+    return !settings && std::ranges::any_of(settings.error(), [&](const std::string& line) {
+        return line.find(expected) != std::string::npos;
+    });
+}
+
+} // namespace
+
+Test(DaemonSettings, acceptsCompleteFile)
+{
+    const auto settings = parseSettings("f.ini", Valid);
+    cr_assert(settings.has_value());
+    cr_expect_eq(settings->name, "vm-1");
+    cr_expect_eq(settings->callers.port(), 8080);
+    cr_expect_eq(settings->trafficThreads, 1u);
+}
+
+Test(DaemonSettings, namesFileSectionAndKeyOfEachFault)
+{
+    cr_expect(rejects(Valid + "[threads]\ntraffic = 0\n", "f.ini: [threads] traffic: 0 is not between 1 and 64"));
+    cr_expect(rejects(Valid + "colour = red\n", "f.ini: [peers] colour: is not a known key"));
+    cr_expect(rejects(Valid + "[colours]\nx = 1\n", "f.ini: [colours] is not a known section"));
+    cr_expect(rejects("", "f.ini: [node] name: is missing"));
+    cr_expect(rejects("[node", "f.ini: line 1"));
+}
+
+Test(DaemonSettings, rejectsUnreadableFile)
+{
+    const auto settings = loadSettings("/nonexistent/f.ini");
+    cr_assert_not(settings.has_value());
+    cr_expect_eq(settings.error().front(), "/nonexistent/f.ini: cannot be read");
+}
--- a/src/tables/internal/sectionreader.cpp
+++ b/src/tables/sectionreader.cpp
@@ -1,4 +1,4 @@
-#include "tables/internal/sectionreader.h"
+#include "tables/sectionreader.h"
 
 namespace flamingousher::tables {
 
--- a/src/tables/tableparser.cpp
+++ b/src/tables/tableparser.cpp
@@ -1,7 +1,7 @@
 #include "tables/tableparser.h"
 
 #include "tables/inidocument.h"
-#include "tables/internal/sectionreader.h"
+#include "tables/sectionreader.h"
 
 #include <algorithm>
 #include <map>
--- /dev/null
+++ b/src/transport/upstreamlink.cpp
@@ -0,0 +1,462 @@
+#include "transport/upstreamlink.h"
+
+#include "http/client.h"
+#include "runtime/fiberthread.h"
+#include "runtime/usefiber.h"
+#include "transport/internal/connection.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+
+namespace flamingousher::transport {
+
+namespace beast = boost::beast;
+using base::Error;
+using base::ErrorCode;
+using base::RunState;
+using base::Step;
+using beast::http::verb;
+using boost::system::error_code;
+using runtime::useFiber;
+
+namespace {
+
+    constexpr std::chrono::milliseconds ConnectTimeout { 1'000 };
+    constexpr std::chrono::milliseconds ControlTimeout { 1'000 };
+    constexpr std::chrono::milliseconds StatusInterval { 1'000 };
+
+    // Connections of the limit that status, cancel and probe requests may use.
+    constexpr std::size_t ControlConnections = 2;
+
+    // A sub-request without any answer for this long after its deadline, or this long at all, is looked into.
+    constexpr base::Duration OverdueGrace = std::chrono::milliseconds(250);
+    constexpr base::Duration LongSilence = std::chrono::seconds(1);
+
+    constexpr std::uint64_t MaximumAnswerBytes = 8ULL * 1024 * 1024;
+
+} // namespace
+
+UpstreamLink::UpstreamLink(boost::asio::io_context& io, UpstreamId id, const tables::Upstream& upstream,
+    const upstreams::QueueSettings& settings, const std::string& incarnation, LinkHooks hooks)
+    : io_(io)
+    , id_(id)
+    , upstream_(upstream)
+    , endpoint_(boost::asio::ip::make_address(upstream.address), upstream.port)
+    , incarnation_(incarnation)
+    , hooks_(std::move(hooks))
+    , queue_(settings)
+    , controlTimer_(io)
+{
+    queue_.setDraining(upstream.state == tables::UpstreamState::Draining);
+}
+
+UpstreamLink::~UpstreamLink() = default;
+
+void UpstreamLink::start()
+{
+    keepWarm();
+    runtime::spawnFiber([self = shared_from_this()] { runControl(self); });
+}
+
+std::size_t UpstreamLink::connectionLimit() const
+{
+    return upstream_.connections > 2 * ControlConnections ? upstream_.connections - ControlConnections
+                                                          : upstream_.connections;
+}
+
+void UpstreamLink::keepWarm()
+{
+    // One more than the slots, so that a connection that ends does not delay the next sub-request.
+    const std::size_t wanted = std::min<std::size_t>(queue_.slots() + 1, connectionLimit());
+    while (connections_.size() < wanted && !isStopping_)
+        openConnection();
+}
+
+void UpstreamLink::submit(SubRequest request, SubCallback callback)
+{
+    const base::TimePoint now = hooks_.now();
+    const SubRequestId id = request.id;
+    const upstreams::QueuedWork work { id, request.rank, request.caller, request.deadline };
+    pending_.emplace(id, Pending { std::move(request), std::move(callback), now });
+    if (isStopping_) {
+        refuse(id, ErrorCode::Draining, Step::Queue, "the home is shutting down");
+        return;
+    }
+    switch (queue_.offer(work, now)) {
+    case upstreams::OfferVerdict::Queued:
+        pump();
+        return;
+    case upstreams::OfferVerdict::QueueFull:
+        refuse(id, ErrorCode::Overloaded, Step::Queue, "the queue is full");
+        return;
+    case upstreams::OfferVerdict::CannotMeetDeadline:
+        refuse(id, ErrorCode::Overloaded, Step::Queue, "no slot in time");
+        return;
+    case upstreams::OfferVerdict::Draining:
+        refuse(id, ErrorCode::Draining, Step::Queue, "the upstream is leaving");
+        return;
+    }
+}
+
+void UpstreamLink::refuse(SubRequestId id, ErrorCode code, Step step, const std::string& detail)
+{
+    ++counters_.refusedNotRun;
+    const auto found = pending_.find(id);
+    Pending pending = std::move(found->second);
+    pending_.erase(found);
+    deliver(pending, tl::unexpected(Error { code, step, upstream_.endpoint(), detail, RunState::NotRun }));
+}
+
+void UpstreamLink::deliver(Pending& pending, tl::expected<SubValue, Error> value)
+{
+    if (!pending.callback)
+        return;
+    const base::TimePoint now = hooks_.now();
+    SubResult result { std::move(value) };
+    result.queued = (pending.isRunning ? pending.sentAt : now) - pending.offeredAt;
+    result.served = pending.isRunning ? now - pending.sentAt : base::Duration::zero();
+    std::exchange(pending.callback, nullptr)(std::move(result));
+}
+
+void UpstreamLink::pump()
+{
+    for (const upstreams::QueuedWork& work : queue_.startReady(hooks_.now()))
+        assign(work.id);
+}
+
+void UpstreamLink::assign(SubRequestId id)
+{
+    std::shared_ptr<Connection> connection;
+    if (!idle_.empty()) {
+        connection = std::move(idle_.back());
+        idle_.pop_back();
+    } else if (connections_.size() < connectionLimit()) {
+        connection = openConnection();
+        std::erase(idle_, connection);
+    } else {
+        queue_.finish(id, hooks_.now());
+        refuse(id, ErrorCode::Overloaded, Step::Connect, "no connection is left");
+        return;
+    }
+    Pending& pending = pending_.at(id);
+    pending.isRunning = true;
+    pending.sentAt = hooks_.now();
+    pending.connection = connection;
+    running_.push_back(id);
+    connection->job = id;
+    connection->wakeUp.notify();
+}
+
+std::shared_ptr<Connection> UpstreamLink::openConnection()
+{
+    auto connection = std::make_shared<Connection>(io_);
+    connections_.push_back(connection);
+    ++counters_.opened;
+    runtime::spawnFiber([self = shared_from_this(), connection] { runConnection(self, connection); });
+    return connection;
+}
+
+void UpstreamLink::runConnection(
+    const std::shared_ptr<UpstreamLink>& self, const std::shared_ptr<Connection>& connection)
+{
+    while (!connection->isClosing) {
+        if (!connection->isConnected && !self->connect(*connection))
+            break;
+        if (!connection->job) {
+            self->idle_.push_back(connection);
+            connection->wakeUp.wait();
+            continue;
+        }
+        self->execute(connection, *connection->job);
+    }
+    if (connection->job) {
+        const SubRequestId id = *std::exchange(connection->job, std::nullopt);
+        self->finish(id,
+            tl::unexpected(Error { ErrorCode::Unreachable, Step::Connect, self->upstream_.endpoint(),
+                "the connection could not be opened", RunState::NotRun }));
+    }
+    connection->isClosing = true;
+    std::erase(self->idle_, connection);
+    std::erase(self->connections_, connection);
+}
+
+bool UpstreamLink::connect(Connection& connection)
+{
+    connection.socket = boost::asio::ip::tcp::socket(io_);
+    connection.buffer.clear();
+    boost::asio::steady_timer timer(io_, ConnectTimeout);
+    timer.async_wait([&connection](const error_code& error) {
+        if (!error)
+            connection.socket.close();
+    });
+    error_code error;
+    connection.socket.async_connect(endpoint_, useFiber[error]);
+    timer.cancel();
+    if (error || !connection.socket.is_open())
+        return false;
+    setUpstreamOptions(connection.socket);
+    connection.isConnected = true;
+    connection.lastProgress = hooks_.now();
+    return true;
+}
+
+void UpstreamLink::execute(const std::shared_ptr<Connection>& connection, SubRequestId id)
+{
+    if (isClosedByPeer(connection->socket)) {
+        // An idle connection was closed: nothing has been sent yet, so another may be opened in its place.
+        connection->isConnected = false;
+        return;
+    }
+    ++counters_.sent;
+    Pending& pending = pending_.at(id);
+    pending.sentAt = hooks_.now();
+    const SubRequest request = pending.request;
+    tl::expected<SubValue, Error> value = exchange(*connection, request);
+    connection->job.reset();
+    finish(id, std::move(value));
+}
+
+tl::expected<SubValue, Error> UpstreamLink::exchange(Connection& connection, const SubRequest& subRequest)
+{
+    const std::string peer = upstream_.endpoint();
+    const http::Request request = encodeSubRequest(subRequest, wireId(subRequest.id), hooks_.now());
+    error_code error;
+    beast::http::async_write(connection.socket, request, useFiber[error]);
+    if (error) {
+        connection.isClosing = true;
+        return tl::unexpected(
+            Error { ErrorCode::ConnectionLost, Step::Send, peer, error.message(), RunState::Unknown });
+    }
+    beast::http::response_parser<beast::http::string_body> parser;
+    parser.body_limit(MaximumAnswerBytes);
+    beast::http::async_read(connection.socket, connection.buffer, parser, useFiber[error]);
+    if (error) {
+        connection.isClosing = true;
+        const bool isProtocol
+            = error.category() == beast::http::make_error_code(beast::http::error::bad_version).category()
+            && error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
+        const ErrorCode code = isProtocol ? ErrorCode::ProtocolViolation : ErrorCode::ConnectionLost;
+        return tl::unexpected(Error { code, Step::Receive, peer, error.message(), RunState::Unknown });
+    }
+    connection.lastProgress = hooks_.now();
+    http::Response response = parser.release();
+    connection.isClosing = connection.isClosing || !response.keep_alive();
+    return decodeSubResponse(subRequest, peer, std::move(response));
+}
+
+void UpstreamLink::finish(SubRequestId id, tl::expected<SubValue, Error> value)
+{
+    const auto found = pending_.find(id);
+    Pending pending = std::move(found->second);
+    pending_.erase(found);
+    std::erase(running_, id);
+    queue_.finish(id, hooks_.now());
+    noteOutcome(pending, value);
+    deliver(pending, std::move(value));
+    keepWarm();
+    pump();
+}
+
+void UpstreamLink::noteOutcome(const Pending& pending, const tl::expected<SubValue, Error>& value)
+{
+    if (value) {
+        ++counters_.answered;
+        return;
+    }
+    if (value.error().code == ErrorCode::Draining) {
+        isSaidDraining_ = true;
+        setDraining(true);
+    }
+    if (value.error().code != ErrorCode::ConnectionLost)
+        return;
+    ++counters_.lost;
+    // Only a connection that broke while the answer was still wanted speaks against the request.
+    if (pending.callback)
+        hooks_.onLost(id_, { pending.request.fingerprint });
+}
+
+void UpstreamLink::cancel(SubRequestId id)
+{
+    const auto found = pending_.find(id);
+    if (found == pending_.end())
+        return;
+    ++counters_.cancelled;
+    if (queue_.cancel(id) == upstreams::CancelVerdict::RemovedBeforeStart) {
+        pending_.erase(found);
+        return;
+    }
+    found->second.callback = nullptr;
+    cancels_.push_back(wireId(id));
+    controlTimer_.cancel();
+}
+
+void UpstreamLink::sweep()
+{
+    const base::TimePoint now = hooks_.now();
+    for (const upstreams::QueuedWork& work : queue_.takeExpired(now))
+        refuse(work.id, ErrorCode::DeadlineExceeded, Step::Queue, "the deadline passed in the queue");
+    for (SubRequestId id : std::vector<SubRequestId>(running_)) {
+        const auto found = pending_.find(id);
+        if (found == pending_.end())
+            continue;
+        Pending& pending = found->second;
+        const base::TimePoint deadline = pending.request.deadline;
+        if (now >= deadline && pending.callback) {
+            cancels_.push_back(wireId(id));
+            controlTimer_.cancel();
+            deliver(pending,
+                tl::unexpected(Error { ErrorCode::DeadlineExceeded, Step::Receive, upstream_.endpoint(),
+                    "no answer in time", RunState::Unknown }));
+        }
+        const bool isSuspect = now >= std::min(deadline + OverdueGrace, pending.sentAt + LongSilence);
+        if (isSuspect && !pending.isProbed && !isProbing_) {
+            pending.isProbed = true;
+            isProbing_ = true;
+            runtime::spawnFiber([self = shared_from_this(), id] { self->probe(id); });
+        }
+    }
+}
+
+// Asks over a new connection what became of a sub-request. When new connections work and the upstream does
+// not know it (any more), the old connection is silent, and so are all without progress since then.
+void UpstreamLink::probe(SubRequestId id)
+{
+    const auto asked = ask(verb::get, std::string(RequestsPath) + wireId(id));
+    isProbing_ = false;
+    const auto found = pending_.find(id);
+    if (found == pending_.end() || !found->second.connection)
+        return;
+    if (!asked) {
+        found->second.connection->close();
+        return;
+    }
+    const bool isOverdue = hooks_.now() >= found->second.request.deadline;
+    if (asked->result() == http::Status::ok && !isOverdue) {
+        found->second.isProbed = false;
+        found->second.sentAt = std::max(found->second.sentAt, hooks_.now() - LongSilence / 2);
+        return;
+    }
+    dropSilentConnections(found->second.sentAt);
+}
+
+void UpstreamLink::dropSilentConnections(base::TimePoint since)
+{
+    for (const std::shared_ptr<Connection>& connection : std::vector(connections_)) {
+        if (!connection->isConnected || connection->lastProgress > since)
+            continue;
+        ++counters_.silentDropped;
+        std::erase(idle_, connection);
+        connection->close();
+    }
+}
+
+void UpstreamLink::setDraining(bool isDraining)
+{
+    const bool byTables = upstream_.state == tables::UpstreamState::Draining;
+    queue_.setDraining(isDraining || byTables);
+    if (!queue_.isDraining())
+        return;
+    for (const upstreams::QueuedWork& work : queue_.takeAllWaiting())
+        refuse(work.id, ErrorCode::Draining, Step::Queue, "the upstream is leaving");
+}
+
+void UpstreamLink::setUpstream(const tables::Upstream& upstream, const upstreams::QueueSettings& settings)
+{
+    upstream_ = upstream;
+    queue_.setSettings(settings);
+    setDraining(isSaidDraining_);
+    keepWarm();
+    pump();
+}
+
+void UpstreamLink::beginShutdown()
+{
+    isStopping_ = true;
+    for (const upstreams::QueuedWork& work : queue_.takeAllWaiting())
+        refuse(work.id, ErrorCode::Draining, Step::Queue, "the home is shutting down");
+    for (const std::shared_ptr<Connection>& connection : std::vector(idle_))
+        connection->close();
+    idle_.clear();
+    controlTimer_.cancel();
+}
+
+void UpstreamLink::runControl(const std::shared_ptr<UpstreamLink>& self)
+{
+    base::TimePoint nextStatus = self->hooks_.now();
+    while (!self->isStopping_) {
+        self->sendCancels();
+        if (self->hooks_.now() >= nextStatus) {
+            self->refreshStatus();
+            nextStatus = self->hooks_.now() + StatusInterval;
+        }
+        if (!self->cancels_.empty())
+            continue;
+        self->controlTimer_.expires_at(nextStatus);
+        error_code ignored;
+        self->controlTimer_.async_wait(useFiber[ignored]);
+    }
+}
+
+void UpstreamLink::sendCancels()
+{
+    for (const std::string& name : std::exchange(cancels_, {}))
+        askReusing(verb::delete_, std::string(RequestsPath) + name);
+}
+
+void UpstreamLink::refreshStatus()
+{
+    const auto response = askReusing(verb::get, std::string(StatusPath));
+    const auto status = response ? decodeStatus(upstream_.endpoint(), response->body())
+                                 : tl::expected<UpstreamStatus, Error>(tl::unexpected(response.error()));
+    if (!status) {
+        ++counters_.statusFailures;
+        return;
+    }
+    status_ = *status;
+    isSaidDraining_ = status->isDraining;
+    setDraining(isSaidDraining_);
+    keepWarm();
+    hooks_.onStatus(id_, *status);
+}
+
+tl::expected<http::Response, Error> UpstreamLink::ask(verb method, const std::string& target)
+{
+    return http::fetch(io_, endpoint_, http::makeRequest(method, target), ControlTimeout);
+}
+
+tl::expected<http::Response, Error> UpstreamLink::askReusing(verb method, const std::string& target)
+{
+    if (idle_.empty())
+        return ask(method, target);
+    // The connection unused for longest: one that has gone silent is found this way before work needs it.
+    const std::shared_ptr<Connection> connection = idle_.front();
+    idle_.erase(idle_.begin());
+    boost::asio::steady_timer timer(io_, ControlTimeout);
+    timer.async_wait([connection](const error_code& error) {
+        if (!error)
+            connection->close();
+    });
+    error_code error;
+    http::Request request = http::makeRequest(method, target);
+    request.keep_alive(true);
+    beast::http::async_write(connection->socket, request, useFiber[error]);
+    http::Response response;
+    if (!error)
+        beast::http::async_read(connection->socket, connection->buffer, response, useFiber[error]);
+    timer.cancel();
+    if (error || connection->isClosing || !response.keep_alive()) {
+        connection->close();
+        return tl::unexpected(Error {
+            ErrorCode::ConnectionLost, Step::Receive, upstream_.endpoint(), error.message(), RunState::Unknown });
+    }
+    connection->lastProgress = hooks_.now();
+    idle_.insert(idle_.begin(), connection);
+    return response;
+}
+
+std::string UpstreamLink::wireId(SubRequestId id) const { return incarnation_ + "-" + std::to_string(id); }
+
+} // namespace flamingousher::transport
--- /dev/null
+++ b/src/transport/upstreamlink.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "http/types.h"
+#include "runtime/signal.h"
+#include "tables/types.h"
+#include "transport/types.h"
+#include "transport/upstreamprotocol.h"
+#include "upstreams/upstreamqueue.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace flamingousher::transport {
+
+struct Connection;
+
+struct LinkHooks {
+    std::function<base::TimePoint()> now;
+    std::function<void(UpstreamId, const UpstreamStatus&)> onStatus;
+
+    // The upstream was lost while it ran these sub-requests.
+    std::function<void(UpstreamId, const std::vector<std::uint64_t>& fingerprints)> onLost;
+};
+
+struct LinkCounters {
+    std::uint64_t sent { 0 };
+    std::uint64_t answered { 0 };
+    std::uint64_t refusedNotRun { 0 };
+    std::uint64_t lost { 0 };
+    std::uint64_t cancelled { 0 };
+    std::uint64_t opened { 0 };
+    std::uint64_t silentDropped { 0 };
+    std::uint64_t statusFailures { 0 };
+};
+
+// Holds the connections to one upstream and starts queued sub-requests on them, within the upstream's slots
+// and connection limit. Used on one thread.
+class UpstreamLink : public std::enable_shared_from_this<UpstreamLink> {
+public:
+    // incarnation: text that no other process incarnation uses, part of the request names sent upstream.
+    UpstreamLink(boost::asio::io_context&, UpstreamId, const tables::Upstream&, const upstreams::QueueSettings&,
+        const std::string& incarnation, LinkHooks);
+    ~UpstreamLink();
+
+    // Opens connections ahead of need and begins to ask for the upstream's status.
+    void start();
+
+    // The callback is called exactly once, unless the sub-request is cancelled.
+    void submit(SubRequest, SubCallback);
+
+    // Drops the sub-request. Its callback is not called any more.
+    void cancel(SubRequestId);
+
+    // Ends sub-requests whose deadline has passed and looks for silent connections.
+    void sweep();
+
+    void setUpstream(const tables::Upstream&, const upstreams::QueueSettings&);
+
+    // Hands back waiting work as "not run"; running work ends, then the connections close.
+    void beginShutdown();
+
+    bool isIdle() const { return pending_.empty(); }
+    const upstreams::UpstreamQueue& queue() const { return queue_; }
+    const LinkCounters& counters() const { return counters_; }
+    const tables::Upstream& upstream() const { return upstream_; }
+    const UpstreamStatus& status() const { return status_; }
+    bool isDraining() const { return queue_.isDraining(); }
+    std::size_t connectionCount() const { return connections_.size(); }
+
+private:
+    struct Pending {
+        SubRequest request;
+        SubCallback callback; // empty once the caller has been answered or has cancelled
+        base::TimePoint offeredAt;
+        base::TimePoint sentAt;
+        bool isRunning { false };
+        bool isProbed { false };
+        std::shared_ptr<Connection> connection;
+    };
+
+    void pump();
+    void assign(SubRequestId);
+    std::shared_ptr<Connection> openConnection();
+    void keepWarm();
+    static void runConnection(const std::shared_ptr<UpstreamLink>&, const std::shared_ptr<Connection>&);
+    bool connect(Connection&);
+    void execute(const std::shared_ptr<Connection>&, SubRequestId);
+    tl::expected<SubValue, base::Error> exchange(Connection&, const SubRequest&);
+    void finish(SubRequestId, tl::expected<SubValue, base::Error>);
+    void refuse(SubRequestId, base::ErrorCode, base::Step, const std::string& detail);
+    void deliver(Pending&, tl::expected<SubValue, base::Error>);
+    void noteOutcome(const Pending&, const tl::expected<SubValue, base::Error>&);
+    void probe(SubRequestId);
+    void dropSilentConnections(base::TimePoint since);
+    static void runControl(const std::shared_ptr<UpstreamLink>&);
+    void refreshStatus();
+    void sendCancels();
+    tl::expected<http::Response, base::Error> ask(boost::beast::http::verb, const std::string& target);
+    tl::expected<http::Response, base::Error> askReusing(boost::beast::http::verb, const std::string& target);
+    std::string wireId(SubRequestId) const;
+    std::size_t connectionLimit() const;
+    void setDraining(bool);
+
+    boost::asio::io_context& io_;
+    UpstreamId id_;
+    tables::Upstream upstream_;
+    http::Endpoint endpoint_;
+    std::string incarnation_;
+    LinkHooks hooks_;
+    upstreams::UpstreamQueue queue_;
+    UpstreamStatus status_;
+    LinkCounters counters_;
+    std::unordered_map<SubRequestId, Pending> pending_;
+    std::vector<SubRequestId> running_;
+    std::vector<std::shared_ptr<Connection>> connections_;
+    std::vector<std::shared_ptr<Connection>> idle_; // used last first
+    std::vector<std::string> cancels_; // wire names
+    boost::asio::steady_timer controlTimer_;
+    bool isStopping_ { false };
+    bool isSaidDraining_ { false }; // by the upstream itself
+    bool isProbing_ { false };
+};
+
+} // namespace flamingousher::transport
--- /dev/null
+++ b/src/transport/upstreamprotocol.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "http/types.h"
+#include "transport/types.h"
+
+#include <tl/expected.hpp>
+
+#include <string>
+#include <string_view>
+
+// The protocol towards upstreams, version 1. Described in docs/PROTOCOLS.md.
+namespace flamingousher::transport {
+
+namespace field {
+    inline constexpr std::string_view Request = "Flamingousher-Request";
+    inline constexpr std::string_view DeadlineMs = "Flamingousher-Deadline-Ms";
+    inline constexpr std::string_view Rank = "Flamingousher-Rank";
+    inline constexpr std::string_view Version = "Flamingousher-Version";
+    inline constexpr std::string_view Shard = "Flamingousher-Shard";
+    inline constexpr std::string_view Identity = "Flamingousher-Identity";
+    inline constexpr std::string_view RunState = "Flamingousher-Run-State";
+    inline constexpr std::string_view Reason = "Flamingousher-Reason";
+} // namespace field
+
+inline constexpr std::string_view SearchPath = "/v1/search";
+inline constexpr std::string_view StatusPath = "/v1/status";
+inline constexpr std::string_view RequestsPath = "/v1/requests/";
+
+// The HTTP request for a sub-request. wireId names it towards the upstream.
+http::Request encodeSubRequest(const SubRequest&, const std::string& wireId, base::TimePoint now);
+
+// The meaning of an upstream's response to a sub-request.
+tl::expected<SubValue, base::Error> decodeSubResponse(const SubRequest&, const std::string& peer, http::Response&&);
+
+tl::expected<UpstreamStatus, base::Error> decodeStatus(const std::string& peer, std::string_view body);
+
+// The body of a search response.
+std::string encodeSearchAnswer(const query::SubAnswer&);
+std::string encodeStatus(const UpstreamStatus&);
+
+} // namespace flamingousher::transport
