Serve a search from end to end as separate processes

Cause: the whole path has to stand before its parts are deepened. Ruled out: counting a retry after a refused connection against the extra-load budget (trace: 40 of 75 shards down, coverage 17 of 75 although 35 had a live replica; such a retry puts no load on anyone). A crash of the tool came from a promise destroyed by the woken thread while set_value() still ran; test survivesManyCallsFromAnotherThread.

--- /dev/null
+++ b/src/control/configurationwatcher.cpp
@@ -0,0 +1,97 @@
+#include "control/configurationwatcher.h"
+
+#include "http/client.h"
+#include "runtime/usefiber.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace flamingousher::control {
+
+namespace {
+
+    constexpr std::chrono::milliseconds WatchTime { 20'000 };
+    constexpr std::chrono::milliseconds WatchTimeout { 25'000 };
+    constexpr base::Duration RetryPause = std::chrono::milliseconds(500);
+    constexpr base::Duration PausedCheck = std::chrono::milliseconds(100);
+
+    std::optional<PublishedTables> decode(const std::string& body)
+    {
+        boost::system::error_code error;
+        const boost::json::value document = boost::json::parse(body, error);
+        if (error || !document.is_object())
+            return std::nullopt;
+        const boost::json::object& object = document.get_object();
+        const auto* revision = object.if_contains("revision");
+        const auto* routes = object.if_contains("routes");
+        const auto* pools = object.if_contains("pools");
+        if (!revision || !revision->is_int64() || !routes || !routes->is_string() || !pools || !pools->is_string())
+            return std::nullopt;
+        return PublishedTables { static_cast<tables::Revision>(revision->get_int64()),
+            std::string(routes->get_string()), std::string(pools->get_string()) };
+    }
+
+} // namespace
+
+ConfigurationWatcher::ConfigurationWatcher(
+    boost::asio::io_context& io, const http::Endpoint& endpoint, Listener listener)
+    : io_(io)
+    , endpoint_(endpoint)
+    , listener_(std::move(listener))
+{
+}
+
+void ConfigurationWatcher::setKnownRevision(tables::Revision revision) { known_ = std::max(known_, revision); }
+
+void ConfigurationWatcher::run()
+{
+    while (!isStopping_) {
+        if (isPaused_) {
+            pause(PausedCheck);
+            continue;
+        }
+        isReachable_ = readOnce();
+        if (!isReachable_)
+            pause(RetryPause);
+    }
+}
+
+bool ConfigurationWatcher::readOnce()
+{
+    ++counters_.calls;
+    const std::string target
+        = "/v1/tables?after=" + std::to_string(known_) + "&wait_ms=" + std::to_string(WatchTime.count());
+    const auto response
+        = http::fetch(io_, endpoint_, http::makeRequest(boost::beast::http::verb::get, target), WatchTimeout);
+    if (!response || (response->result() != http::Status::ok && response->result() != http::Status::not_modified)) {
+        ++counters_.failures;
+        return false;
+    }
+    if (response->result() == http::Status::not_modified)
+        return true;
+    std::optional<PublishedTables> published = decode(response->body());
+    if (!published) {
+        ++counters_.failures;
+        return false;
+    }
+    if (published->revision <= known_) {
+        // A stale replica of the service answers at once: ask again later, not immediately.
+        ++counters_.staleReads;
+        pause(RetryPause);
+        return true;
+    }
+    known_ = published->revision;
+    listener_(*std::move(published));
+    return true;
+}
+
+void ConfigurationWatcher::pause(base::Duration duration)
+{
+    boost::asio::steady_timer timer(io_, duration);
+    boost::system::error_code ignored;
+    timer.async_wait(runtime::useFiber[ignored]);
+}
+
+} // namespace flamingousher::control
--- /dev/null
+++ b/src/ctl/commands.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace flamingousher::ctl {
+
+// Exit codes of flamingousherctl.
+enum class ExitCode : int {
+    Success = 0,
+    Negative = 1, // the answer is no: faults found, not found, not yet in force
+    Usage = 2,
+    Unreachable = 3,
+};
+
+struct Options {
+    std::vector<std::string> operators; // "address:port" of operators' ports
+    bool isJson { false };
+    std::uint64_t waitForRevision { 0 };
+    std::uint32_t timeoutMs { 5'000 };
+    std::uint32_t rounds { 0 }; // of top; 0: until interrupted
+};
+
+ExitCode checkTables(const std::string& routesFile, const std::string& poolsFile);
+ExitCode diffTables(const std::vector<std::string>& files);
+ExitCode showState(const Options&);
+ExitCode showTop(const Options&);
+ExitCode explainRequest(const Options&, const std::string& requestId);
+ExitCode showConfiguration(const Options&);
+ExitCode showPeers(const Options&);
+ExitCode publishTables(
+    const Options&, const std::string& platform, const std::string& routesFile, const std::string& poolsFile);
+
+} // namespace flamingousher::ctl
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,88 @@
+#include "daemon/daemon.h"
+#include "settings/daemonsettings.h"
+
+#include <gflags/gflags.h>
+#include <spdlog/spdlog.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+
+DEFINE_string(settings, "", "INI file with the settings of this process.");
+DEFINE_bool(check, false, "Check the settings file and exit.");
+
+namespace {
+
+constexpr int ExitUsage = 2;
+constexpr int ExitSettings = 3;
+constexpr int ExitPorts = 4;
+constexpr int ExitShutdownTimeout = 5;
+
+constexpr const char* Usage = R"(flamingousherd - query tier over many shards
+
+Usage: flamingousherd --settings FILE [--check]
+
+  --settings FILE  INI file with the settings of this process (see docs/OPERATIONS.md)
+  --check          check the settings file and exit
+  --version        print the version and exit
+  --help           print this text and exit
+
+SIGTERM and SIGINT finish what is in flight, then end the process.
+
+Exit codes: 0 stopped as asked, 2 wrong arguments, 3 wrong settings, 4 a port cannot be opened,
+5 the shutdown timeout passed with requests in flight.
+)";
+
+void configureLog(const flamingousher::settings::DaemonSettings& settings)
+{
+    spdlog::set_level(spdlog::level::from_str(settings.logLevel));
+    if (settings.logFormat == "json")
+        spdlog::set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","message":"%v"})");
+}
+
+bool hasArgument(int argc, char** argv, const char* argument)
+{
+    for (int index = 1; index < argc; ++index) {
+        if (std::strcmp(argv[index], argument) == 0)
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (hasArgument(argc, argv, "--help")) {
+        std::fputs(Usage, stdout);
+        return 0;
+    }
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_settings.empty() || argc > 1) {
+        std::fputs(Usage, stderr);
+        return ExitUsage;
+    }
+    const auto settings = flamingousher::settings::loadSettings(FLAGS_settings);
+    if (!settings) {
+        for (const std::string& line : settings.error())
+            std::fprintf(stderr, "%s\n", line.c_str());
+        return ExitSettings;
+    }
+    if (FLAGS_check)
+        return 0;
+    configureLog(*settings);
+    std::signal(SIGPIPE, SIG_IGN);
+    flamingousher::daemon::Daemon daemon(*settings);
+    if (const auto started = daemon.start(); !started) {
+        std::fprintf(stderr, "%s\n", started.error().c_str());
+        std::_Exit(ExitPorts);
+    }
+    const bool isClean = daemon.runUntilStopped();
+    spdlog::info("stopped{}", isClean ? "" : ": the shutdown timeout passed");
+    spdlog::shutdown();
+    std::fflush(nullptr);
+    // Fibers that wait for idle connections are not unwound.
+    std::_Exit(isClean ? 0 : ExitShutdownTimeout);
+}
--- a/src/query/query.cpp
+++ b/src/query/query.cpp
@@ -14,6 +14,13 @@
     constexpr std::uint32_t MaximumAttemptsPerShard = 3;
     constexpr std::uint32_t MaximumRestarts = 2;
 
+    // True when the failed attempt put no work on its upstream, so that another is no extra load.
+    bool costNothing(const Error& error)
+    {
+        const bool isRefusalForLoad = error.code == ErrorCode::Shed || error.code == ErrorCode::Overloaded;
+        return error.runState == RunState::NotRun && !isRefusalForLoad;
+    }
+
 } // namespace
 
 Query::Query(QuerySpec spec, QueryHooks hooks)
@@ -142,7 +149,8 @@
 {
     ShardState& state = shards_[shard];
     const bool isInTime = now < spec_.deadline;
-    if (isInTime && state.attempts < MaximumAttemptsPerShard && hooks_.takeRetry()
+    const bool hasAttempts = isInTime && state.attempts < MaximumAttemptsPerShard;
+    if (hasAttempts && (costNothing(*state.lastError) || hooks_.takeRetry())
         && sendToShard(shard, false, now, actions)) {
         ++retries_;
         return;
--- a/src/query/replicachooser.cpp
+++ b/src/query/replicachooser.cpp
@@ -88,6 +88,15 @@
         known.ejections = 0;
 }
 
+void ReplicaChooser::onCancelled(UpstreamId upstream, base::Duration elapsed)
+{
+    onReleased(upstream);
+    Stats& known = stats(upstream);
+    const double atLeast = base::toMilliseconds(elapsed);
+    if (known.answers > 0 && atLeast > known.latencyMs)
+        known.latencyMs += LatencyWeight * (atLeast - known.latencyMs);
+}
+
 void ReplicaChooser::onFailed(UpstreamId upstream, base::TimePoint now)
 {
     onReleased(upstream);
--- a/src/query/replicachooser.h
+++ b/src/query/replicachooser.h
@@ -30,6 +30,9 @@
     // A failure that is evidence against the upstream. Cancelled and refused work is not.
     void onFailed(UpstreamId, base::TimePoint now);
 
+    // The answer was no longer wanted after this time: the upstream is at least that slow.
+    void onCancelled(UpstreamId, base::Duration elapsed);
+
     // The sub-request ended in a way that says nothing about the upstream.
     void onReleased(UpstreamId);
 
--- a/src/query/tests/querytests.cpp
+++ b/src/query/tests/querytests.cpp
@@ -217,6 +217,17 @@
     cr_expect_eq(harness.outcome_->retries, 1u);
 }
 
+Test(Query, needsNoBudgetToLeaveAnUpstreamThatIsDown)
+{
+    Harness harness(1);
+    harness.mayRetry_ = false;
+    harness.start();
+    const base::Error refused { ErrorCode::Unreachable, base::Step::Connect, "u", "", RunState::NotRun };
+    const auto actions = harness.query_.onFailure(harness.sent_[0].id, refused, Start);
+    cr_assert_eq(actions.size(), 1u);
+    cr_expect(std::holds_alternative<SendSubRequest>(actions[0]));
+}
+
 Test(Query, restartsOnANewerVersionWhenItsOwnHasGone)
 {
     Harness harness(2);
--- a/src/runtime/fiberthread.h
+++ b/src/runtime/fiberthread.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -32,14 +33,15 @@
     // thread; when it runs fibers, its other fibers go on meanwhile.
     template <typename Function> auto call(Function function) -> decltype(function())
     {
-        boost::fibers::promise<decltype(function())> promise;
-        auto future = promise.get_future();
-        post([&] {
+        // Shared, because the waiting thread may go on before set_value() returns.
+        auto promise = std::make_shared<boost::fibers::promise<decltype(function())>>();
+        auto future = promise->get_future();
+        post([&function, promise] {
             if constexpr (std::is_void_v<decltype(function())>) {
                 function();
-                promise.set_value();
+                promise->set_value();
             } else {
-                promise.set_value(function());
+                promise->set_value(function());
             }
         });
         return future.get();
--- a/src/runtime/tests/fiberthreadtests.cpp
+++ b/src/runtime/tests/fiberthreadtests.cpp
@@ -18,6 +18,15 @@
     cr_expect_eq(thread.call([] { return 42; }), 42);
 }
 
+Test(FiberThread, survivesManyCallsFromAnotherThread)
+{
+    FiberThread thread("test");
+    int sum = 0;
+    for (int call = 0; call < 20'000; ++call)
+        sum += thread.call([] { return 1; });
+    cr_expect_eq(sum, 20'000);
+}
+
 Test(FiberThread, suspendsFiberUntilOperationCompletes)
 {
     FiberThread thread("test");
--- /dev/null
+++ b/src/traffic/homeset.cpp
@@ -0,0 +1,100 @@
+#include "traffic/homeset.h"
+
+#include <algorithm>
+#include <set>
+
+namespace flamingousher::traffic {
+
+namespace {
+
+    constexpr std::size_t QueueCapacity = 4'096;
+
+} // namespace
+
+std::array<double, base::RankCount> floorsOf(const tables::Tables& tables, const std::string& pool)
+{
+    std::array<double, base::RankCount> floors {};
+    for (const tables::Route& route : tables.routes) {
+        if (route.pool == pool)
+            floors[base::indexOf(route.rank)] += route.share;
+    }
+    return floors;
+}
+
+HomeSet::HomeSet(
+    boost::asio::io_context& io, transport::UpstreamDirectory& directory, const std::string& incarnation, Hooks hooks)
+    : io_(io)
+    , directory_(directory)
+    , incarnation_(incarnation)
+    , hooks_(std::move(hooks))
+{
+}
+
+void HomeSet::apply(const tables::Tables& tables, const std::function<bool(const tables::Upstream&)>& isOwn)
+{
+    std::set<query::UpstreamId> wanted;
+    for (const tables::Pool& pool : tables.pools) {
+        const auto floors = floorsOf(tables, pool.name);
+        for (const tables::Upstream& listed : pool.upstreams) {
+            if (!isOwn(listed))
+                continue;
+            const tables::Upstream upstream = hooks_.limited(listed);
+            const query::UpstreamId id = directory_.idOf(listed);
+            const upstreams::QueueSettings settings { upstream.slots, floors, QueueCapacity };
+            wanted.insert(id);
+            std::shared_ptr<transport::UpstreamLink>& link = links_[id];
+            if (link) {
+                link->setUpstream(upstream, settings);
+                continue;
+            }
+            link = std::make_shared<transport::UpstreamLink>(io_, id, upstream, settings, incarnation_,
+                transport::LinkHooks { hooks_.now, hooks_.onStatus, hooks_.onLost });
+            link->start();
+        }
+    }
+    std::erase_if(links_, [&](const auto& entry) {
+        if (wanted.contains(entry.first))
+            return false;
+        entry.second->beginShutdown();
+        closing_.push_back(entry.second);
+        return true;
+    });
+}
+
+bool HomeSet::submit(transport::SubRequest& request, transport::SubCallback& callback)
+{
+    const auto found = links_.find(request.upstream);
+    if (found == links_.end())
+        return false;
+    found->second->submit(std::move(request), std::move(callback));
+    return true;
+}
+
+void HomeSet::cancel(query::SubRequestId id, query::UpstreamId upstream)
+{
+    const auto found = links_.find(upstream);
+    if (found != links_.end())
+        found->second->cancel(id);
+}
+
+void HomeSet::sweep()
+{
+    for (const auto& [id, link] : links_)
+        link->sweep();
+    for (const auto& link : closing_)
+        link->sweep();
+    std::erase_if(closing_, [](const auto& link) { return link->isIdle(); });
+}
+
+void HomeSet::beginShutdown()
+{
+    for (const auto& [id, link] : links_)
+        link->beginShutdown();
+}
+
+bool HomeSet::isIdle() const
+{
+    return closing_.empty() && std::ranges::all_of(links_, [](const auto& entry) { return entry.second->isIdle(); });
+}
+
+} // namespace flamingousher::traffic
--- /dev/null
+++ b/src/traffic/internal/activequery.cpp
@@ -0,0 +1,193 @@
+#include "traffic/internal/activequery.h"
+
+namespace flamingousher::traffic {
+
+using accounts::EventKind;
+using base::Error;
+using base::ErrorCode;
+
+namespace {
+
+    // Sub-requests slower than this quantile are worth hedging.
+    constexpr double HedgeQuantile = 0.95;
+
+    // A hedge must leave its loser time to lose: never earlier than this.
+    constexpr base::Duration LeastHedgeDelay = std::chrono::milliseconds(1);
+
+    bool isEvidenceAgainstUpstream(const Error& error)
+    {
+        switch (error.code) {
+        case ErrorCode::Unreachable:
+        case ErrorCode::ConnectionLost:
+        case ErrorCode::ProtocolViolation:
+            return true;
+        case ErrorCode::DeadlineExceeded:
+            return error.step == base::Step::Receive;
+        default:
+            return false;
+        }
+    }
+
+} // namespace
+
+ActiveQuery::ActiveQuery(TrafficContext& context, PoolState& pool, CallerRequest& request, const query::QuerySpec& spec,
+    const std::string& text)
+    : context_(context)
+    , pool_(pool)
+    , request_(&request)
+    , spec_(spec)
+    , text_(text)
+    , query_(spec, makeHooks())
+    , timer_(context.io)
+{
+}
+
+query::QueryHooks ActiveQuery::makeHooks()
+{
+    return {
+        [this] { return pool_.catalog.bestPlan(); },
+        [this](const std::vector<query::UpstreamId>& candidates) {
+            return context_.chooser.choose(candidates, context_.now());
+        },
+        [this] { return std::max(LeastHedgeDelay, pool_.latency.quantile(HedgeQuantile)); },
+        [this] { return pool_.hedgeBudget.take(context_.now()); },
+        [this] { return pool_.retryBudget.take(context_.now()); },
+        [this] { return context_.nextId(); },
+    };
+}
+
+query::QueryOutcome ActiveQuery::run()
+{
+    apply(query_.start(context_.now()));
+    armTimer();
+    if (!outcome_)
+        finished_.wait();
+    timer_.cancel();
+    request_ = nullptr;
+    return *std::move(outcome_);
+}
+
+void ActiveQuery::abandon()
+{
+    if (!outcome_)
+        apply(query_.abandon(context_.now()));
+}
+
+void ActiveQuery::armTimer()
+{
+    if (outcome_)
+        return;
+    timer_.expires_at(query_.nextTimer());
+    timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+        if (error || self->outcome_)
+            return;
+        self->apply(self->query_.onTimer(self->context_.now()));
+        self->armTimer();
+    });
+}
+
+void ActiveQuery::apply(const std::vector<query::Action>& actions)
+{
+    // A sub-request may be refused while it is sent. Its result waits until the actions have been carried out.
+    const bool isOutermost = !std::exchange(isApplying_, true);
+    for (const query::Action& action : actions) {
+        if (const auto* toSend = std::get_if<query::SendSubRequest>(&action))
+            send(*toSend);
+        else if (const auto* toCancel = std::get_if<query::CancelSubRequest>(&action))
+            cancel(*toCancel);
+        else
+            outcome_ = std::get<query::FinishQuery>(action).outcome;
+    }
+    if (!isOutermost)
+        return;
+    isApplying_ = false;
+    while (!deferred_.empty()) {
+        auto results = std::exchange(deferred_, {});
+        for (auto& [id, result] : results)
+            onResult(id, std::move(result));
+    }
+    if (outcome_)
+        finished_.notify();
+}
+
+void ActiveQuery::send(const query::SendSubRequest& action)
+{
+    const base::TimePoint now = context_.now();
+    sent_.emplace(action.id, Sent { action.upstream, action.target.shard, now });
+    context_.chooser.onSent(action.upstream, now);
+    if (!action.isHedge) {
+        pool_.hedgeBudget.onFirstAttempt();
+        pool_.retryBudget.onFirstAttempt();
+    }
+    request_->note(action.isHedge ? EventKind::Hedged : EventKind::Sent, action.target.shard, action.upstream);
+    transport::SubRequest subRequest { action.id, action.upstream, request_->route().rank, request_->caller(),
+        spec_.deadline, request_->fingerprint(),
+        transport::SearchCall { action.target, text_, static_cast<std::uint32_t>(spec_.resultLimit) } };
+    context_.dispatcher.submit(
+        std::move(subRequest), [self = shared_from_this(), id = action.id](transport::SubResult result) {
+            self->onResult(id, std::move(result));
+        });
+}
+
+void ActiveQuery::cancel(const query::CancelSubRequest& action)
+{
+    const auto found = sent_.find(action.id);
+    if (found == sent_.end())
+        return;
+    context_.chooser.onCancelled(action.upstream, context_.now() - found->second.at);
+    request_->note(EventKind::Cancelled, found->second.shard, action.upstream);
+    sent_.erase(found);
+    context_.dispatcher.cancel(action.id, action.upstream);
+}
+
+void ActiveQuery::onResult(query::SubRequestId id, transport::SubResult result)
+{
+    if (isApplying_) {
+        deferred_.emplace_back(id, std::move(result));
+        return;
+    }
+    handleResult(id, std::move(result));
+}
+
+void ActiveQuery::handleResult(query::SubRequestId id, transport::SubResult result)
+{
+    const auto found = sent_.find(id);
+    if (found == sent_.end() || outcome_)
+        return;
+    const Sent sent = found->second;
+    sent_.erase(found);
+    longestQueued_ = std::max(longestQueued_, result.queued);
+    const base::TimePoint now = context_.now();
+    if (!result.value) {
+        learnFromError(sent, result.value.error());
+        request_->note(EventKind::Failed, sent.shard, sent.upstream, result.value.error());
+        apply(query_.onFailure(id, result.value.error(), now));
+        return;
+    }
+    context_.chooser.onAnswered(sent.upstream, now - sent.at, now);
+    pool_.latency.observe(now - sent.at);
+    request_->note(EventKind::Answered, sent.shard, sent.upstream);
+    apply(query_.onAnswer(id, std::get<query::SubAnswer>(std::move(*result.value)), now));
+}
+
+void ActiveQuery::learnFromError(const Sent& sent, const Error& error)
+{
+    if (isEvidenceAgainstUpstream(error))
+        context_.chooser.onFailed(sent.upstream, context_.now());
+    else
+        context_.chooser.onReleased(sent.upstream);
+    if (error.code == ErrorCode::Shed || error.code == ErrorCode::Overloaded) {
+        longestQueued_ = std::max(longestQueued_, spec_.deadline - request_->receivedAt());
+        pool_.hedgeBudget.onShed(context_.now());
+        pool_.retryBudget.onShed(context_.now());
+    }
+    if (error.code == ErrorCode::VersionNotServed) {
+        const auto plan = pool_.catalog.bestPlan();
+        if (plan)
+            pool_.catalog.removeVersion(sent.upstream, plan->version);
+    }
+    if (error.code == ErrorCode::Draining)
+        pool_.catalog.setUsable(sent.upstream, false);
+}
+
+} // namespace flamingousher::traffic
--- /dev/null
+++ b/src/traffic/internal/callerrequest.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "accounts/requestrecord.h"
+#include "base/error.h"
+#include "http/types.h"
+#include "tables/types.h"
+#include "traffic/trafficcontext.h"
+
+#include <string>
+#include <vector>
+
+namespace flamingousher::traffic {
+
+// One caller's request while it is worked on: its limits and its timeline.
+class CallerRequest {
+public:
+    CallerRequest(TrafficContext&, const http::Request&, const http::Exchange&, const tables::Route&);
+
+    const std::string& id() const { return id_; }
+    const std::string& caller() const { return caller_; }
+    const tables::Route& route() const { return route_; }
+    base::TimePoint deadline() const { return deadline_; }
+    base::TimePoint receivedAt() const { return receivedAt_; }
+    std::uint64_t fingerprint() const { return fingerprint_; }
+
+    void note(accounts::EventKind);
+    void note(accounts::EventKind, std::uint32_t shard, query::UpstreamId, const char* detail = "");
+    void note(accounts::EventKind, std::uint32_t shard, query::UpstreamId, const base::Error&);
+
+    // Counts the outcome and keeps the timeline when the answer was slow, partial or refused.
+    void finish(const std::string& outcome);
+
+private:
+    struct TimelineEvent {
+        accounts::EventKind kind { accounts::EventKind::Received };
+        base::TimePoint at;
+        std::uint32_t shard { 0 };
+        query::UpstreamId upstream { NoUpstream };
+        std::string detail;
+    };
+
+    static constexpr query::UpstreamId NoUpstream = ~query::UpstreamId { 0 };
+
+    accounts::RequestRecord record(const std::string& outcome, base::Duration elapsed) const;
+
+    TrafficContext& context_;
+    tables::Route route_;
+    std::string id_;
+    std::string caller_;
+    base::TimePoint receivedAt_;
+    base::TimePoint deadline_;
+    std::uint64_t fingerprint_ { 0 };
+    std::vector<TimelineEvent> timeline_;
+};
+
+// The response that tells a caller of an error.
+http::Response makeErrorResponse(
+    const http::Request&, const std::string& requestId, const base::Error&, base::Duration retryAfter = {});
+
+} // namespace flamingousher::traffic
