Add the fleet core: members, configuration, homes of upstreams

Cause: every node must hold the newest tables and one node at a time must be the home of an upstream, with no coordinator and no stored state. Change: failure detection and gossip, a store that takes and gives differences and never goes back, homes by rendezvous hashing with claim and release, a hold-off, and a share of each limit in proportion to the part of the fleet that is seen.

--- /dev/null
+++ b/src/fleet/homeduties.cpp
@@ -0,0 +1,169 @@
+#include "fleet/homeduties.h"
+
+#include "fleet/rendezvous.h"
+
+#include <algorithm>
+
+namespace flamingousher::fleet {
+
+HomeDuties::HomeDuties(NodeId self, HomeDutySettings settings)
+    : self_(std::move(self))
+    , settings_(settings)
+{
+}
+
+void HomeDuties::setUpstreams(const std::vector<HomeKey>& upstreams, base::TimePoint now)
+{
+    upstreams_ = upstreams;
+    recompute(now);
+}
+
+void HomeDuties::setView(const std::vector<NodeInfo>& alive, std::size_t listed, base::TimePoint now)
+{
+    view_ = alive;
+    listed_ = listed;
+    if (isLeaving_)
+        std::erase_if(view_, [&](const NodeInfo& node) { return node.id == self_; });
+    recompute(now);
+}
+
+void HomeDuties::beginLeave(base::TimePoint now)
+{
+    isLeaving_ = true;
+    setView(view_, listed_, now);
+}
+
+void HomeDuties::recompute(base::TimePoint now)
+{
+    std::map<std::string, NodeInfo> homes;
+    std::map<std::string, Duty> duties;
+    for (const HomeKey& key : upstreams_) {
+        const NodeInfo* home = homeOf(key);
+        if (!home)
+            continue;
+        homes.emplace(key.upstream, *home);
+        const auto held = duties_.find(key.upstream);
+        if (home->id != self_) {
+            if (held != duties_.end() && isServing(key.upstream, now))
+                surrendered_[key.upstream] = std::nullopt;
+            continue;
+        }
+        surrendered_.erase(key.upstream);
+        if (held == duties_.end()) {
+            duties.emplace(key.upstream, makeDuty(key, now));
+            continue;
+        }
+        Duty duty = held->second;
+        if (!duty.isPreviousKnown)
+            guessPrevious(key, duty);
+        duties.emplace(key.upstream, std::move(duty));
+    }
+    homes_ = std::move(homes);
+    duties_ = std::move(duties);
+}
+
+HomeDuties::Duty HomeDuties::makeDuty(const HomeKey& key, base::TimePoint now) const
+{
+    Duty duty;
+    duty.servesFrom = listed_ <= 1 ? now : now + settings_.holdOff;
+    const auto earlier = homes_.find(key.upstream);
+    if (earlier != homes_.end() && earlier->second.id != self_) {
+        duty.previous = earlier->second;
+        duty.isPreviousKnown = true;
+    } else {
+        guessPrevious(key, duty);
+    }
+    return duty;
+}
+
+// A node that joins did not see who was the home before: the choice without itself tells.
+void HomeDuties::guessPrevious(const HomeKey& key, Duty& duty) const
+{
+    std::vector<NodeInfo> others = view_;
+    std::erase_if(others, [&](const NodeInfo& node) { return node.id == self_; });
+    const NodeInfo* previous = rendezvousNodeNear(others, key.upstream, key.zone);
+    duty.previous = previous ? std::optional(*previous) : std::nullopt;
+}
+
+const NodeInfo* HomeDuties::homeOf(const HomeKey& key) const
+{
+    return rendezvousNodeNear(view_, key.upstream, key.zone);
+}
+
+void HomeDuties::suspend(base::TimePoint now)
+{
+    surrendered_.clear();
+    for (const HomeKey& key : upstreams_) {
+        const auto duty = duties_.find(key.upstream);
+        if (duty == duties_.end())
+            continue;
+        duty->second = {};
+        duty->second.servesFrom = now + settings_.holdOff;
+        guessPrevious(key, duty->second);
+    }
+}
+
+std::vector<Claim> HomeDuties::tick(base::TimePoint now)
+{
+    std::map<NodeInfo, std::vector<std::string>> wanted;
+    for (auto& [upstream, duty] : duties_) {
+        if (duty.isReleased || now >= duty.servesFrom || !duty.previous)
+            continue;
+        if (duty.lastClaim != base::TimePoint() && now - duty.lastClaim < settings_.claimInterval)
+            continue;
+        duty.lastClaim = now;
+        wanted[*duty.previous].push_back(upstream);
+    }
+    std::vector<Claim> claims;
+    for (auto& [node, upstreams] : wanted)
+        claims.push_back({ node, std::move(upstreams) });
+    return claims;
+}
+
+std::vector<std::string> HomeDuties::onClaim(const NodeInfo& from, const std::vector<std::string>& upstreams,
+    const std::function<bool(const std::string&)>& hasWorkInFlight, base::TimePoint)
+{
+    std::vector<std::string> released;
+    for (const std::string& upstream : upstreams) {
+        const auto home = homes_.find(upstream);
+        // Releases only towards the node that it sees as the home itself: a claim alone proves nothing.
+        const bool isAgreed = home != homes_.end() && home->second.id == from.id;
+        // What this node did not serve itself is not its to release: another may still serve it.
+        const auto surrendered = surrendered_.find(upstream);
+        if (!isAgreed || surrendered == surrendered_.end() || hasWorkInFlight(upstream))
+            continue;
+        if (surrendered->second && *surrendered->second != from.id)
+            continue;
+        surrendered->second = from.id;
+        released.push_back(upstream);
+    }
+    return released;
+}
+
+void HomeDuties::onReleased(const NodeId& from, const std::vector<std::string>& upstreams)
+{
+    for (const std::string& upstream : upstreams) {
+        const auto duty = duties_.find(upstream);
+        if (duty != duties_.end() && duty->second.previous && duty->second.previous->id == from)
+            duty->second.isReleased = true;
+    }
+}
+
+bool HomeDuties::isServing(const std::string& upstream, base::TimePoint now) const
+{
+    const auto duty = duties_.find(upstream);
+    return duty != duties_.end() && (duty->second.isReleased || now >= duty->second.servesFrom);
+}
+
+bool HomeDuties::isOwn(const std::string& upstream) const { return duties_.contains(upstream); }
+
+std::uint32_t shareOfLimit(std::uint32_t limit, std::size_t seen, std::size_t listed)
+{
+    if (seen >= listed)
+        return limit;
+    const std::uint64_t product = static_cast<std::uint64_t>(limit) * seen;
+    const bool isMajority = 2 * seen > listed;
+    return static_cast<std::uint32_t>(isMajority ? (product + listed - 1) / listed : product / listed);
+}
+
+} // namespace flamingousher::fleet
--- /dev/null
+++ b/src/fleet/rendezvous.cpp
@@ -0,0 +1,66 @@
+#include "fleet/rendezvous.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace flamingousher::fleet {
+
+namespace {
+
+    std::uint64_t weigh(const NodeInfo& node, std::string_view key)
+    {
+        const XXH64_hash_t seed = XXH3_64bits_withSeed(node.id.endpoint.data(), node.id.endpoint.size(), node.id.boot);
+        return XXH3_64bits_withSeed(key.data(), key.size(), seed);
+    }
+
+} // namespace
+
+std::vector<const NodeInfo*> rendezvousNodes(
+    const std::vector<NodeInfo>& nodes, std::string_view key, std::size_t count)
+{
+    std::vector<std::pair<std::uint64_t, const NodeInfo*>> weighed;
+    weighed.reserve(nodes.size());
+    for (const NodeInfo& node : nodes)
+        weighed.emplace_back(weigh(node, key), &node);
+    const std::size_t chosen = std::min(count, weighed.size());
+    std::ranges::partial_sort(weighed, weighed.begin() + static_cast<std::ptrdiff_t>(chosen),
+        [](const auto& left, const auto& right) { return left.first > right.first; });
+    std::vector<const NodeInfo*> best;
+    best.reserve(chosen);
+    for (std::size_t index = 0; index < chosen; ++index)
+        best.push_back(weighed[index].second);
+    return best;
+}
+
+const NodeInfo* rendezvousNode(const std::vector<NodeInfo>& nodes, std::string_view key)
+{
+    const NodeInfo* best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const NodeInfo& node : nodes) {
+        const std::uint64_t weight = weigh(node, key);
+        if (!best || weight > bestWeight) {
+            best = &node;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+const NodeInfo* rendezvousNodeNear(const std::vector<NodeInfo>& nodes, std::string_view key, std::string_view zone)
+{
+    const NodeInfo* best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const NodeInfo& node : nodes) {
+        if (node.zone != zone)
+            continue;
+        const std::uint64_t weight = weigh(node, key);
+        if (!best || weight > bestWeight) {
+            best = &node;
+            bestWeight = weight;
+        }
+    }
+    return best ? best : rendezvousNode(nodes, key);
+}
+
+} // namespace flamingousher::fleet
--- /dev/null
+++ b/src/fleet/tests/fleetruntests.cpp
@@ -0,0 +1,185 @@
+#include "fleet/tests/fleetrun.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace flamingousher::fleet;
+using namespace flamingousher::fleet::tests;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// A pause of up to this length must not make the others declare a node dead.
+constexpr seconds HarmlessPause { 4 };
+
+void expectSafe(const FleetRun& run)
+{
+    cr_expect_eq(run.revisionsGoneBack, 0u, "a revision went back");
+    cr_expect_eq(run.limitsExceeded, 0u, "slots exceeded in %lu upstream steps", run.limitsExceeded);
+}
+
+} // namespace
+
+Test(FleetRun, formsOneViewAndServesEveryUpstream)
+{
+    FleetRun run({});
+    run.runFor(seconds(10));
+    for (std::size_t node = 0; node < run.size(); ++node) {
+        cr_expect_eq(run.core(node).membership().aliveNodes().size(), 9u);
+        cr_expect(run.core(node).mayServe(run.now()));
+    }
+    const std::uint64_t before = run.stepsWithoutHome;
+    run.runFor(seconds(5));
+    cr_expect_eq(run.stepsWithoutHome, before);
+    expectSafe(run);
+}
+
+Test(FleetRun, spreadsAnEditToAllNodesWithinEightSecondsOverLossyLinks)
+{
+    for (std::size_t nodes : { 3, 9, 60, 200 }) {
+        for (std::uint64_t seed = 1; seed <= (nodes > 50 ? 1 : 10); ++seed) {
+            FleetRun run({ .nodes = nodes, .upstreams = 3, .loss = 0.3, .seed = seed });
+            run.runFor(seconds(20));
+            run.publish("second");
+            run.runFor(seconds(8));
+            cr_expect_eq(
+                run.countAtRevision(2), nodes, "%zu of %zu nodes, seed %lu", run.countAtRevision(2), nodes, seed);
+            expectSafe(run);
+        }
+    }
+}
+
+Test(FleetRun, neverGoesBackForAStaleServiceOrARestartedNode)
+{
+    FleetRun run({});
+    run.runFor(seconds(8));
+    run.publish("second");
+    run.runFor(seconds(8));
+    run.setServiceShows(1);
+    const std::size_t fresh = run.addNode();
+    for (int step = 0; step < 400; ++step) {
+        run.runFor(milliseconds(20));
+        const bool isOld = run.core(fresh).configuration().mark().revision < 2;
+        cr_assert_not(isOld && run.core(fresh).mayServe(run.now()), "serves by an old revision");
+    }
+    cr_expect_eq(run.core(fresh).configuration().mark().revision, 2u);
+    cr_expect(run.core(fresh).mayServe(run.now()));
+    expectSafe(run);
+}
+
+Test(FleetRun, bringsANewNodeUpWhileTheServiceIsDown)
+{
+    FleetRun run({});
+    run.runFor(seconds(8));
+    run.setServiceDown(true);
+    const std::size_t fresh = run.addNode();
+    run.runFor(seconds(8));
+    cr_expect(run.core(fresh).mayServe(run.now()));
+    expectSafe(run);
+}
+
+Test(FleetRun, evictsNoNodeForAHarmlessPause)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        FleetRun run({ .loss = 0.05, .seed = seed });
+        run.runFor(seconds(10));
+        run.pause(seed % 9, HarmlessPause);
+        run.runFor(seconds(30));
+        cr_expect_eq(run.falseDeaths, 0u, "seed %lu", seed);
+        for (std::size_t node = 0; node < run.size(); ++node)
+            cr_expect_eq(run.core(node).membership().aliveNodes().size(), 9u, "seed %lu", seed);
+        expectSafe(run);
+    }
+}
+
+Test(FleetRun, evictsNoNodeForLossyLinks)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        FleetRun run({ .nodes = 30, .upstreams = 10, .loss = 0.3, .seed = seed });
+        run.runFor(seconds(120));
+        cr_expect_eq(run.falseDeaths, 0u, "seed %lu: %lu", seed, run.falseDeaths);
+    }
+}
+
+Test(FleetRun, movesOnlyTheUpstreamsOfALostNode)
+{
+    FleetRun run({});
+    run.runFor(seconds(10));
+    std::map<std::string, std::string> before;
+    for (std::size_t upstream = 0; upstream < 30; ++upstream) {
+        const std::string name = "u" + std::to_string(upstream);
+        before[name] = run.core(0).homes().homeOf({ name, "z" + std::to_string(upstream % 3) })->id.endpoint;
+    }
+    const std::string lost = run.core(8).membership().self().id.endpoint;
+    run.kill(8);
+    run.runFor(seconds(15));
+    for (const auto& [name, home] : before) {
+        const std::string zone = "z" + std::to_string(std::stoul(name.substr(1)) % 3);
+        const std::string after = run.core(0).homes().homeOf({ name, zone })->id.endpoint;
+        cr_expect(after == home || home == lost, "%s moved", name.c_str());
+        cr_expect_neq(after, lost);
+    }
+    expectSafe(run);
+}
+
+Test(FleetRun, keepsLimitsInSumWhileNodesJoinLeaveDieAndPause)
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        FleetRun run({ .loss = 0.1, .seed = seed });
+        run.runFor(seconds(8));
+        run.addNode();
+        run.runFor(seconds(3));
+        run.leave(seed % 9);
+        run.runFor(seconds(3));
+        run.kill((seed + 3) % 9);
+        run.runFor(seconds(2));
+        run.pause((seed + 5) % 9, seconds(30));
+        run.runFor(seconds(60));
+        cr_expect_eq(run.limitsExceeded, 0u, "seed %lu: %lu upstream steps", seed, run.limitsExceeded);
+    }
+}
+
+Test(FleetRun, keepsLimitsInSumAcrossAPartition)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        FleetRun run({ .seed = seed });
+        run.runFor(seconds(10));
+        run.partition({ 0, 3, 6 });
+        run.runFor(seconds(60));
+        cr_expect_eq(run.limitsExceeded, 0u, "seed %lu: %lu upstream steps", seed, run.limitsExceeded);
+        run.publish("second");
+        run.runFor(seconds(5));
+        run.heal();
+        run.runFor(seconds(20));
+        cr_expect_eq(run.countAtRevision(2), 9u);
+        for (std::size_t node = 0; node < run.size(); ++node)
+            cr_expect_eq(run.core(node).membership().aliveNodes().size(), 9u, "seed %lu", seed);
+        expectSafe(run);
+    }
+}
+
+Test(FleetRun, handsOverAPlannedLeaveWithoutAHoldOff)
+{
+    FleetRun run({});
+    run.runFor(seconds(10));
+    const std::uint64_t before = run.stepsWithoutHome;
+    run.leave(4);
+    run.runFor(seconds(10));
+    // About 3 of 30 upstreams move; a hold-off of 3 s would leave each without a home for 150 steps.
+    const double gap = static_cast<double>(run.stepsWithoutHome - before) / 3;
+    cr_expect_lt(gap, 75, "%.0f steps of 20 ms for each moved upstream", gap);
+    expectSafe(run);
+}
+
+Test(FleetRun, callsTheServiceFromAFewNodesOnly)
+{
+    FleetRun run({ .nodes = 60, .upstreams = 3 });
+    run.runFor(seconds(20));
+    const std::uint64_t before = run.serviceCalls;
+    run.publish("second");
+    run.runFor(seconds(10));
+    cr_expect_leq(run.serviceCalls - before, 6u, "two watchers in each of three zones");
+    cr_expect_eq(run.countAtRevision(2), 60u);
+}
--- /dev/null
+++ b/src/fleet/tests/homedutiestests.cpp
@@ -0,0 +1,118 @@
+#include "fleet/homeduties.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace flamingousher;
+using namespace flamingousher::fleet;
+using std::chrono::seconds;
+
+namespace {
+
+const base::TimePoint Start { std::chrono::hours(1) };
+
+NodeInfo node(const std::string& endpoint, const std::string& zone = "z")
+{
+    return { { endpoint, 1 }, zone, "r", "", 1 };
+}
+
+const std::vector<HomeKey> Keys { { "u0", "z" }, { "u1", "z" }, { "u2", "z" }, { "u3", "z" }, { "u4", "z" } };
+
+bool isIdle(const std::string&) { return false; }
+
+} // namespace
+
+Test(HomeDuties, prefersANodeInTheUpstreamsZone)
+{
+    HomeDuties duties({ "a", 1 }, {});
+    duties.setView({ node("a", "x"), node("b", "y") }, 2, Start);
+    cr_expect_eq(duties.homeOf({ "u", "x" })->id.endpoint, "a");
+    cr_expect_eq(duties.homeOf({ "u", "y" })->id.endpoint, "b");
+    cr_expect_not_null(duties.homeOf({ "u", "elsewhere" }));
+}
+
+Test(HomeDuties, waitsForTheHoldOffWithoutARelease)
+{
+    HomeDuties duties({ "a", 1 }, {});
+    duties.setUpstreams(Keys, Start);
+    duties.setView({ node("a") }, 2, Start);
+    cr_expect_not(duties.isServing("u0", Start));
+    cr_expect(duties.isServing("u0", Start + seconds(3)));
+}
+
+Test(HomeDuties, servesAtOnceWhenItIsTheOnlyListedNode)
+{
+    HomeDuties duties({ "a", 1 }, {});
+    duties.setUpstreams(Keys, Start);
+    duties.setView({ node("a") }, 1, Start);
+    cr_expect(duties.isServing("u0", Start));
+}
+
+Test(HomeDuties, takesOverAtOnceWhenThePreviousHomeReleases)
+{
+    HomeDuties previous({ "a", 1 }, {});
+    previous.setUpstreams(Keys, Start);
+    previous.setView({ node("a") }, 1, Start);
+    HomeDuties joining({ "b", 1 }, {});
+    joining.setUpstreams(Keys, Start);
+    for (HomeDuties* duties : { &previous, &joining })
+        duties->setView({ node("a"), node("b") }, 2, Start);
+    const auto claims = joining.tick(Start);
+    cr_assert_eq(claims.size(), 1u);
+    cr_expect_eq(claims[0].to.id.endpoint, "a");
+    const auto refused = previous.onClaim(
+        node("b"), claims[0].upstreams, [](const std::string&) { return true; }, Start);
+    cr_expect(refused.empty(), "work is still in flight");
+    const auto released = previous.onClaim(node("b"), claims[0].upstreams, isIdle, Start);
+    cr_expect(released == claims[0].upstreams);
+    joining.onReleased({ "a", 1 }, released);
+    for (const std::string& upstream : released) {
+        cr_expect(joining.isServing(upstream, Start));
+        cr_expect_not(previous.isServing(upstream, Start));
+    }
+}
+
+Test(HomeDuties, releasesNothingThatItDidNotServe)
+{
+    HomeDuties duties({ "a", 1 }, {});
+    duties.setUpstreams(Keys, Start);
+    duties.setView({ node("a"), node("b") }, 3, Start);
+    duties.setView({ node("b") }, 3, Start);
+    cr_expect(duties.onClaim(node("b"), { "u0", "u1", "u2", "u3", "u4" }, isIdle, Start).empty());
+}
+
+Test(HomeDuties, releasesToOneNodeOnly)
+{
+    HomeDuties duties({ "a", 1 }, {});
+    duties.setUpstreams(Keys, Start);
+    duties.setView({ node("a") }, 1, Start);
+    duties.setView({ node("b") }, 2, Start);
+    cr_expect_eq(duties.onClaim(node("b"), { "u0" }, isIdle, Start).size(), 1u);
+    duties.setView({ node("c") }, 2, Start);
+    cr_expect(duties.onClaim(node("c"), { "u0" }, isIdle, Start).empty());
+}
+
+Test(ShareOfLimit, neverExceedsTheLimitInSum)
+{
+    const bool holds = rc::check("parts of all sides are at most the limit", [] {
+        const auto limit = *rc::gen::inRange<std::uint32_t>(1, 200);
+        const auto sides
+            = *rc::gen::nonEmpty(rc::gen::container<std::vector<std::size_t>>(rc::gen::inRange<std::size_t>(1, 50)));
+        std::size_t listed = 0;
+        for (std::size_t side : sides)
+            listed += side;
+        std::uint32_t sum = 0;
+        for (std::size_t side : sides)
+            sum += shareOfLimit(limit, side, listed);
+        RC_ASSERT(sum <= limit);
+    });
+    cr_expect(holds);
+}
+
+Test(ShareOfLimit, costsNothingWhenOneNodeOfNineIsDown)
+{
+    cr_expect_eq(shareOfLimit(2, 8, 9), 2u);
+    cr_expect_eq(shareOfLimit(3, 8, 9), 3u);
+    cr_expect_eq(shareOfLimit(6, 8, 9), 6u);
+    cr_expect_eq(shareOfLimit(3, 3, 9), 1u);
+}
--- /dev/null
+++ b/src/fleet/tests/membershiptests.cpp
@@ -0,0 +1,115 @@
+#include "fleet/membership.h"
+
+#include <criterion/criterion.h>
+
+using namespace flamingousher;
+using namespace flamingousher::fleet;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const base::TimePoint Start { std::chrono::hours(1) };
+
+NodeInfo node(const std::string& endpoint, std::uint64_t boot) { return { { endpoint, boot }, "z", "r", "", 1 }; }
+
+Membership::Hooks quietHooks()
+{
+    return { [] { return 0; }, [] {}, [](const NodeInfo&, const ConfigurationMark&) {}, [](const CrashEvidence&) {} };
+}
+
+Membership makeMembership() { return Membership(node("a", 1), {}, quietHooks()); }
+
+void introduce(Membership& membership, const NodeInfo& other)
+{
+    membership.receive(Ping { 1, other, { "a", 0 }, {} }, Start);
+}
+
+} // namespace
+
+Test(Membership, learnsOfANodeThatPingsIt)
+{
+    Membership membership = makeMembership();
+    introduce(membership, node("b", 2));
+    cr_expect_eq(membership.aliveNodes().size(), 2u);
+}
+
+Test(Membership, declaresDeadOnlyAfterSuspicion)
+{
+    Membership membership = makeMembership();
+    introduce(membership, node("b", 2));
+    base::TimePoint now = Start;
+    const auto stateOfOther = [&] { return membership.members().begin()->second.state; };
+    while (stateOfOther() == MemberState::Alive)
+        membership.tick(now += milliseconds(100));
+    cr_expect_eq(stateOfOther(), MemberState::Suspect);
+    const base::TimePoint suspectedAt = now;
+    while (stateOfOther() == MemberState::Suspect)
+        membership.tick(now += milliseconds(100));
+    cr_expect_geq((now - suspectedAt).count(), base::Duration(seconds(5)).count());
+    cr_expect_eq(membership.aliveNodes().size(), 1u);
+}
+
+Test(Membership, refutesARumourOfItsOwnDeath)
+{
+    Membership membership = makeMembership();
+    Ping ping { 1, node("b", 2), { "a", 1 }, {} };
+    ping.gossip.members.push_back({ node("a", 1), MemberState::Suspect, 0 });
+    const auto answer = membership.receive(ping, Start);
+    const auto& ack = std::get<Ack>(answer.front().message);
+    bool didRefute = false;
+    for (const MemberUpdate& update : ack.gossip.members)
+        didRefute
+            = didRefute || (update.node.id.boot == 1 && update.state == MemberState::Alive && update.refutation == 1);
+    cr_expect(didRefute);
+}
+
+Test(Membership, endsAnEarlierIncarnationAtTheSameEndpoint)
+{
+    Membership membership = makeMembership();
+    introduce(membership, node("b", 2));
+    introduce(membership, node("b", 3));
+    cr_expect_eq(membership.aliveNodes().size(), 2u);
+    cr_expect_eq(membership.members().at({ "b", 2 }).state, MemberState::Dead);
+}
+
+Test(Membership, ignoresARumourThatRevivesANodeThatLeft)
+{
+    Membership membership = makeMembership();
+    introduce(membership, node("b", 2));
+    Ping ping { 1, node("c", 3), { "a", 0 }, {} };
+    ping.gossip.members.push_back({ node("b", 2), MemberState::Left, 1 });
+    membership.receive(ping, Start);
+    ping.gossip.members = { { node("b", 2), MemberState::Alive, 9 } };
+    membership.receive(ping, Start);
+    cr_expect_eq(membership.members().at({ "b", 2 }).state, MemberState::Left);
+}
+
+Test(Membership, blamesNobodyForItsOwnPause)
+{
+    Membership membership = makeMembership();
+    introduce(membership, node("b", 2));
+    base::TimePoint now = Start;
+    for (int round = 0; round < 12; ++round)
+        membership.tick(now += milliseconds(100));
+    now += seconds(30);
+    membership.tick(now);
+    cr_expect(membership.isViewStale());
+    cr_expect_eq(membership.pauses(), 1u);
+    cr_expect_eq(membership.aliveNodes().size(), 2u);
+    membership.receive(Ping { 2, node("b", 2), { "a", 1 }, {} }, now);
+    cr_expect_not(membership.isViewStale());
+}
+
+Test(Membership, passesEvidenceOfACrashOnOnce)
+{
+    int heard = 0;
+    Membership::Hooks hooks = quietHooks();
+    hooks.onCrash = [&](const CrashEvidence&) { ++heard; };
+    Membership membership(node("a", 1), {}, hooks);
+    membership.spreadCrash({ 7, "u", 1 });
+    membership.spreadCrash({ 7, "u", 1 });
+    cr_expect_eq(heard, 1);
+    const auto answer = membership.receive(Ping { 1, node("b", 2), { "a", 1 }, {} }, Start);
+    cr_expect_eq(std::get<Ack>(answer.front().message).gossip.crashes.size(), 1u);
+}
--- /dev/null
+++ b/src/fleet/types.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "base/types.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace flamingousher::fleet {
+
+// One process incarnation: where it listens for peers, and a number that no other incarnation uses.
+struct NodeId {
+    std::string endpoint; // "IP:port"
+    std::uint64_t boot { 0 };
+
+    auto operator<=>(const NodeId&) const = default;
+};
+
+std::string toString(const NodeId&);
+
+enum class MemberState : std::uint8_t {
+    Alive,
+    Suspect,
+    Left, // on purpose, after its duties were handed over
+    Dead,
+};
+
+std::string_view toString(MemberState);
+
+struct NodeInfo {
+    NodeId id;
+    std::string zone;
+    std::string region;
+    std::string operators; // endpoint of its operators' port
+    std::uint32_t trafficThreads { 1 };
+
+    auto operator<=>(const NodeInfo&) const = default;
+};
+
+// What gossip says of one node. Of two updates the one with the higher refutation counts; of equals, the
+// worse state.
+struct MemberUpdate {
+    NodeInfo node;
+    MemberState state { MemberState::Alive };
+    std::uint32_t refutation { 0 };
+
+    auto operator<=>(const MemberUpdate&) const = default;
+};
+
+// Newest configuration that a node holds, spread with every message.
+struct ConfigurationMark {
+    std::uint64_t revision { 0 };
+    std::uint64_t digest { 0 };
+
+    auto operator<=>(const ConfigurationMark&) const = default;
+};
+
+// A crash of an upstream while it ran a request.
+struct CrashEvidence {
+    std::uint64_t fingerprint { 0 }; // of the request
+    std::string upstream; // name
+    std::uint64_t reporter { 0 }; // boot number of the home that saw it
+
+    auto operator<=>(const CrashEvidence&) const = default;
+};
+
+struct Gossip {
+    std::vector<MemberUpdate> members;
+    std::vector<CrashEvidence> crashes;
+    ConfigurationMark configuration;
+
+    bool operator==(const Gossip&) const = default;
+};
+
+struct Ping {
+    std::uint64_t sequence { 0 };
+    NodeInfo from;
+    NodeId target;
+    Gossip gossip;
+
+    bool operator==(const Ping&) const = default;
+};
+
+struct Ack {
+    std::uint64_t sequence { 0 };
+    NodeInfo from;
+    Gossip gossip;
+
+    bool operator==(const Ack&) const = default;
+};
+
+// Asks the receiver to ping the target on behalf of the sender.
+struct PingRequest {
+    std::uint64_t sequence { 0 };
+    NodeInfo from;
+    NodeId target;
+
+    bool operator==(const PingRequest&) const = default;
+};
+
+using Message = std::variant<Ping, Ack, PingRequest>;
+
+// A message to be sent, by datagram, to the endpoint.
+struct Outgoing {
+    std::string endpoint;
+    Message message;
+
+    bool operator==(const Outgoing&) const = default;
+};
+
+struct Member {
+    NodeInfo node;
+    MemberState state { MemberState::Alive };
+    std::uint32_t refutation { 0 };
+    base::TimePoint since; // of the state
+    base::TimePoint heardAt; // last message directly from the node
+
+    bool operator==(const Member&) const = default;
+};
+
+} // namespace flamingousher::fleet
--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -70,7 +70,7 @@
     std::string readChoice(SectionReader& reader, const std::string& key, const std::vector<std::string>& choices,
         const std::string& fallback)
     {
-        const std::string value = reader.text(key, fallback);
+        std::string value = reader.text(key, fallback);
         if (std::ranges::find(choices, value) == choices.end())
             reader.addFault(key, "'" + value + "' is not one of the known values");
         return value;
--- a/src/standins/searcher/catalogue.cpp
+++ b/src/standins/searcher/catalogue.cpp
@@ -81,6 +81,7 @@
             scores[posting.document] += posting.weight;
     }
     std::vector<query::Hit> hits;
+    hits.reserve(scores.size());
     for (const auto& [document, score] : scores)
         hits.push_back({ documents_[document].first, documents_[document].second, score });
     query::TopKMerger merger(limit);
--- a/src/tables/tableparser.cpp
+++ b/src/tables/tableparser.cpp
@@ -154,6 +154,7 @@
         for (Upstream& upstream : upstreams)
             attachUpstream(std::move(upstream), pools, faults);
         std::vector<Pool> sorted;
+        sorted.reserve(pools.size());
         for (auto& [name, pool] : pools)
             sorted.push_back(std::move(pool));
         return sorted;
--- a/src/traffic/trafficthread.cpp
+++ b/src/traffic/trafficthread.cpp
@@ -119,9 +119,9 @@
     }
 }
 
-void TrafficThread::applyTables(std::shared_ptr<const tables::Tables> tables)
+void TrafficThread::applyTables(const std::shared_ptr<const tables::Tables>& tables)
 {
-    thread_.call([this, tables] {
+    thread_.call([&] {
         state_->applyPools(*tables);
         state_->context.tables = tables;
         state_->homes.apply(*tables, [](const tables::Upstream&) { return true; });
--- a/src/traffic/trafficthread.h
+++ b/src/traffic/trafficthread.h
@@ -23,7 +23,7 @@
     // Begins to listen for callers.
     boost::system::error_code listen();
 
-    void applyTables(std::shared_ptr<const tables::Tables>);
+    void applyTables(const std::shared_ptr<const tables::Tables>&);
 
     // True when the index versions of every search pool are known.
     bool isReady();
