Add the wire format and the connections between processes

Cause: sub-requests have to reach the home of their upstream on another node, and nodes have to hear each other. Change: FlatBuffers messages, authenticated frames over TCP, datagrams for probes and gossip, a link that collects sub-requests into frames and proves what was not run, a server with heartbeats.

--- /dev/null
+++ b/src/peers/fleettransport.cpp
@@ -0,0 +1,184 @@
+#include "peers/fleettransport.h"
+
+#include "http/client.h"
+#include "runtime/fiberthread.h"
+#include "runtime/usefiber.h"
+#include "wire/codec.h"
+#include "wire/mac.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstring>
+
+namespace flamingousher::peers {
+
+using boost::asio::ip::tcp;
+using boost::asio::ip::udp;
+using boost::system::error_code;
+using runtime::useFiber;
+
+namespace {
+
+    constexpr std::chrono::milliseconds FrameTimeout { 2'000 };
+    constexpr std::size_t DatagramBufferBytes = 64 * 1024;
+    const std::string DatagramPrefix = "datagram:";
+
+    bool isDatagram(const fleet::FleetMessage& message)
+    {
+        return std::holds_alternative<fleet::Ping>(message) || std::holds_alternative<fleet::Ack>(message)
+            || std::holds_alternative<fleet::PingRequest>(message);
+    }
+
+    // Closes the stream when an exchange over it takes too long.
+    void closeLater(boost::asio::steady_timer& timer, const std::shared_ptr<FrameStream>& stream)
+    {
+        timer.expires_after(FrameTimeout);
+        timer.async_wait([stream](const error_code& error) {
+            if (!error)
+                stream->close();
+        });
+    }
+
+} // namespace
+
+FleetTransport::FleetTransport(
+    boost::asio::io_context& io, const PeerIdentity& identity, Receiver receiver, std::function<std::uint64_t()> random)
+    : io_(io)
+    , identity_(identity)
+    , receiver_(std::move(receiver))
+    , random_(std::move(random))
+    , datagrams_(io)
+    , acceptor_(io)
+{
+}
+
+error_code FleetTransport::listen(const http::Endpoint& endpoint)
+{
+    error_code error;
+    const udp::endpoint datagramEndpoint(endpoint.address(), endpoint.port());
+    datagrams_.open(datagramEndpoint.protocol(), error);
+    if (!error)
+        datagrams_.bind(datagramEndpoint, error);
+    if (!error)
+        acceptor_.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor_.bind(endpoint, error);
+    if (!error)
+        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error)
+        return error;
+    runtime::spawnFiber([this] { receiveDatagrams(); });
+    runtime::spawnFiber([this] { acceptConnections(); });
+    return {};
+}
+
+void FleetTransport::receiveDatagrams()
+{
+    std::string buffer(DatagramBufferBytes, '\0');
+    for (;;) {
+        udp::endpoint sender;
+        error_code error;
+        const std::size_t size = datagrams_.async_receive_from(boost::asio::buffer(buffer), sender, useFiber[error]);
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        if (error || size < wire::MacBytes)
+            continue;
+        const std::string payload = buffer.substr(wire::MacBytes, size - wire::MacBytes);
+        wire::Mac stated {};
+        std::memcpy(stated.data(), buffer.data(), stated.size());
+        const bool isAuthentic = wire::isEqual(stated, wire::computeMac(identity_.key, DatagramPrefix, payload));
+        const auto content = isAuthentic ? wire::decode(sender.address().to_string(), payload)
+                                         : tl::expected<wire::Content, base::Error>(tl::unexpected(base::Error {}));
+        const auto* message = content ? std::get_if<fleet::FleetMessage>(&*content) : nullptr;
+        if (!message) {
+            ++counters_.refused;
+            continue;
+        }
+        ++counters_.framesReceived;
+        counters_.bytesReceived += size;
+        receiver_(*message);
+    }
+}
+
+void FleetTransport::acceptConnections()
+{
+    for (;;) {
+        error_code error;
+        auto socket = std::make_shared<tcp::socket>(acceptor_.async_accept(useFiber[error]));
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        if (!error)
+            runtime::spawnFiber([this, socket] { receiveFrames(std::move(*socket)); });
+    }
+}
+
+void FleetTransport::receiveFrames(tcp::socket socket)
+{
+    const auto stream = std::make_shared<FrameStream>(std::move(socket), identity_, counters_);
+    boost::asio::steady_timer timer(io_);
+    closeLater(timer, stream);
+    if (stream->handshake(false, random_())) {
+        const auto content = stream->receive();
+        const auto* message = content ? std::get_if<fleet::FleetMessage>(&*content) : nullptr;
+        if (message)
+            receiver_(*message);
+    }
+    timer.cancel();
+    stream->close();
+}
+
+void FleetTransport::send(std::vector<fleet::FleetOutgoing> outgoing)
+{
+    for (fleet::FleetOutgoing& message : outgoing) {
+        const auto endpoint = http::parseEndpoint(message.endpoint);
+        if (!endpoint)
+            continue;
+        if (isDatagram(message.message))
+            sendDatagram(*endpoint, message.message);
+        else
+            sendFrame(*endpoint, message.message);
+    }
+}
+
+void FleetTransport::sendDatagram(const http::Endpoint& endpoint, const fleet::FleetMessage& message)
+{
+    const std::string payload = wire::encode(message);
+    if (payload.size() > wire::MaximumDatagramBytes)
+        return;
+    const wire::Mac mac = wire::computeMac(identity_.key, DatagramPrefix, payload);
+    std::string datagram(reinterpret_cast<const char*>(mac.data()), mac.size());
+    datagram += payload;
+    error_code ignored;
+    datagrams_.send_to(boost::asio::buffer(datagram), udp::endpoint(endpoint.address(), endpoint.port()), 0, ignored);
+    ++counters_.framesSent;
+    counters_.bytesSent += datagram.size();
+}
+
+void FleetTransport::sendFrame(const http::Endpoint& endpoint, const fleet::FleetMessage& message)
+{
+    runtime::spawnFiber([this, endpoint, message] {
+        auto socket = std::make_shared<tcp::socket>(io_);
+        boost::asio::steady_timer timer(io_, FrameTimeout);
+        timer.async_wait([socket](const error_code& error) {
+            if (!error)
+                socket->close();
+        });
+        error_code error;
+        socket->async_connect(endpoint, useFiber[error]);
+        timer.cancel();
+        if (error || !socket->is_open())
+            return;
+        const auto stream = std::make_shared<FrameStream>(std::move(*socket), identity_, counters_);
+        closeLater(timer, stream);
+        if (stream->handshake(true, random_()) && stream->send(message)) {
+            // Waits until the other side has read the frame and closed.
+            static_cast<void>(stream->receive());
+        }
+        timer.cancel();
+        stream->close();
+    });
+}
+
+} // namespace flamingousher::peers
--- /dev/null
+++ b/src/peers/framestream.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "base/error.h"
+#include "http/types.h"
+#include "wire/types.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <tl/expected.hpp>
+
+#include <memory>
+#include <string>
+
+namespace flamingousher::peers {
+
+struct PeerIdentity {
+    fleet::NodeInfo self;
+    std::string key; // shared secret of the fleet
+};
+
+struct PeerCounters {
+    std::uint64_t framesSent { 0 };
+    std::uint64_t framesReceived { 0 };
+    std::uint64_t bytesSent { 0 };
+    std::uint64_t bytesReceived { 0 };
+    std::uint64_t refused { 0 }; // frames from strangers, of another version or over size
+    std::uint64_t connectionsLost { 0 };
+};
+
+// Authenticated frames over one TCP connection between two processes. A frame is its length in four bytes,
+// least significant first, a message authentication code, and a FlatBuffer. Used by the fibers of one thread:
+// one may read while another writes.
+class FrameStream {
+public:
+    FrameStream(boost::asio::ip::tcp::socket, const PeerIdentity&, PeerCounters&);
+
+    // Exchanges hellos. The key of the connection depends on both nonces, so that frames cannot be replayed.
+    tl::expected<wire::Hello, base::Error> handshake(bool isInitiator, std::uint64_t nonce);
+
+    tl::expected<wire::Content, base::Error> receive();
+    tl::expected<void, base::Error> send(const wire::Content&);
+
+    void close();
+    boost::asio::ip::tcp::socket& socket() { return socket_; }
+
+private:
+    tl::expected<std::string, base::Error> receiveBytes();
+    base::Error lost(base::Step, const boost::system::error_code&) const;
+    base::Error refuse(const char* detail);
+
+    boost::asio::ip::tcp::socket socket_;
+    const PeerIdentity& identity_;
+    PeerCounters& counters_;
+    std::string peer_;
+    std::string connectionKey_;
+    std::uint64_t sent_ { 0 };
+    std::uint64_t received_ { 0 };
+    bool isInitiator_ { false };
+};
+
+} // namespace flamingousher::peers
--- /dev/null
+++ b/src/peers/peerlink.cpp
@@ -0,0 +1,227 @@
+#include "peers/peerlink.h"
+
+#include "http/client.h"
+#include "runtime/fiberthread.h"
+#include "runtime/usefiber.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+
+namespace flamingousher::peers {
+
+using base::Error;
+using base::ErrorCode;
+using base::RunState;
+using base::Step;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using runtime::useFiber;
+
+namespace {
+
+    constexpr std::chrono::milliseconds ConnectTimeout { 500 };
+    constexpr std::chrono::milliseconds ReconnectPause { 100 };
+
+    // A home with work of this link sends something at least every 300 ms.
+    constexpr base::Duration SilenceBound = std::chrono::milliseconds(1'000);
+
+    constexpr base::Duration OverdueGrace = std::chrono::milliseconds(50);
+
+} // namespace
+
+PeerLink::PeerLink(boost::asio::io_context& io, const http::Endpoint& endpoint, const PeerIdentity& identity,
+    PeerCounters& counters, Hooks hooks)
+    : io_(io)
+    , endpoint_(endpoint)
+    , identity_(identity)
+    , counters_(counters)
+    , hooks_(std::move(hooks))
+{
+}
+
+void PeerLink::start()
+{
+    runtime::spawnFiber([self = shared_from_this()] { run(self); });
+}
+
+void PeerLink::submit(wire::RemoteRequest request, transport::SubCallback callback)
+{
+    if (outstanding_.empty())
+        oldestUnanswered_ = hooks_.now();
+    outstanding_.emplace(request.request.id, Outstanding { std::move(callback), request.request.deadline });
+    next_.requests.push_back(std::move(request));
+    wakeUp_.notify();
+}
+
+void PeerLink::cancel(transport::SubRequestId id, const std::string& upstream)
+{
+    const auto found = outstanding_.find(id);
+    if (found == outstanding_.end())
+        return;
+    const bool wasSent = found->second.isSent;
+    outstanding_.erase(found);
+    if (wasSent)
+        next_.cancels.push_back({ id, upstream });
+    else
+        std::erase_if(next_.requests, [&](const wire::RemoteRequest& request) { return request.request.id == id; });
+    wakeUp_.notify();
+}
+
+void PeerLink::wantStatuses(const std::set<std::string>& upstreams)
+{
+    for (const std::string& upstream : upstreams) {
+        if (wanted_.insert(upstream).second)
+            next_.wantedStatuses.push_back(upstream);
+    }
+    std::erase_if(wanted_, [&](const std::string& upstream) { return !upstreams.contains(upstream); });
+    wakeUp_.notify();
+}
+
+void PeerLink::run(const std::shared_ptr<PeerLink>& self)
+{
+    while (!self->isClosing_) {
+        if (self->next_.isEmpty() && self->wanted_.empty()) {
+            self->wakeUp_.wait();
+            continue;
+        }
+        const std::shared_ptr<FrameStream> stream = self->connect();
+        if (!stream) {
+            self->failAll("the home cannot be reached");
+            boost::asio::steady_timer timer(self->io_, ReconnectPause);
+            error_code ignored;
+            timer.async_wait(useFiber[ignored]);
+            continue;
+        }
+        self->stream_ = stream;
+        self->lastReceived_ = self->hooks_.now();
+        self->next_.wantedStatuses.assign(self->wanted_.begin(), self->wanted_.end());
+        runtime::spawnFiber([self, stream] { readLoop(self, stream); });
+        self->writeLoop(*stream);
+        stream->close();
+        self->stream_ = nullptr;
+        ++self->counters_.connectionsLost;
+        self->failAll("the connection to the home was lost");
+    }
+    self->failAll("the link was closed");
+}
+
+std::shared_ptr<FrameStream> PeerLink::connect()
+{
+    auto socket = std::make_shared<tcp::socket>(io_);
+    boost::asio::steady_timer timer(io_, ConnectTimeout);
+    const auto closeSocket = [socket](const error_code& error) {
+        if (!error)
+            socket->close();
+    };
+    timer.async_wait(closeSocket);
+    error_code error;
+    socket->async_connect(endpoint_, useFiber[error]);
+    timer.cancel();
+    if (error || !socket->is_open())
+        return nullptr;
+    auto stream = std::make_shared<FrameStream>(std::move(*socket), identity_, counters_);
+    timer.expires_after(ConnectTimeout);
+    timer.async_wait([stream](const error_code& failure) {
+        if (!failure)
+            stream->close();
+    });
+    const auto hello = stream->handshake(true, hooks_.random());
+    timer.cancel();
+    return hello ? stream : nullptr;
+}
+
+void PeerLink::writeLoop(FrameStream& stream)
+{
+    while (!isClosing_ && stream.socket().is_open()) {
+        if (next_.isEmpty()) {
+            wakeUp_.wait();
+            continue;
+        }
+        wire::Batch batch = std::exchange(next_, {});
+        const base::TimePoint now = hooks_.now();
+        for (wire::RemoteRequest& request : batch.requests) {
+            request.remaining = request.request.deadline - now;
+            const auto found = outstanding_.find(request.request.id);
+            if (found != outstanding_.end())
+                found->second.isSent = true;
+        }
+        if (!stream.send(batch))
+            return;
+    }
+}
+
+void PeerLink::readLoop(const std::shared_ptr<PeerLink>& self, const std::shared_ptr<FrameStream>& stream)
+{
+    for (;;) {
+        auto content = stream->receive();
+        auto* batch = content ? std::get_if<wire::Batch>(&*content) : nullptr;
+        if (!batch)
+            break;
+        self->lastReceived_ = self->hooks_.now();
+        self->accept(std::move(*batch));
+    }
+    stream->close();
+    self->wakeUp_.notify();
+}
+
+void PeerLink::accept(wire::Batch&& batch)
+{
+    for (wire::RemoteResult& remote : batch.results)
+        finish(remote.id, std::move(remote.result));
+    for (const wire::RemoteStatus& status : batch.statuses)
+        hooks_.onStatus(status);
+}
+
+void PeerLink::finish(transport::SubRequestId id, transport::SubResult result)
+{
+    const auto found = outstanding_.find(id);
+    if (found == outstanding_.end())
+        return;
+    const transport::SubCallback callback = std::move(found->second.callback);
+    outstanding_.erase(found);
+    oldestUnanswered_ = hooks_.now();
+    callback(std::move(result));
+}
+
+void PeerLink::failAll(const std::string& detail)
+{
+    next_ = {};
+    for (auto& [id, outstanding] : std::exchange(outstanding_, {})) {
+        // What was never handed to the connection cannot have been run.
+        const RunState state = outstanding.isSent ? RunState::Unknown : RunState::NotRun;
+        const ErrorCode code = outstanding.isSent ? ErrorCode::ConnectionLost : ErrorCode::Unreachable;
+        outstanding.callback({ tl::unexpected(Error { code, Step::Peer, http::toString(endpoint_), detail, state }) });
+    }
+}
+
+void PeerLink::sweep()
+{
+    const base::TimePoint now = hooks_.now();
+    std::vector<transport::SubRequestId> overdue;
+    for (const auto& [id, outstanding] : outstanding_) {
+        if (now >= outstanding.deadline + OverdueGrace)
+            overdue.push_back(id);
+    }
+    for (transport::SubRequestId id : overdue) {
+        finish(id,
+            { tl::unexpected(Error { ErrorCode::DeadlineExceeded, Step::Peer, http::toString(endpoint_),
+                "no answer from the home in time", RunState::Unknown }) });
+    }
+    const bool isSilent
+        = stream_ && !outstanding_.empty() && now - std::max(lastReceived_, oldestUnanswered_) > SilenceBound;
+    if (isSilent) {
+        stream_->close();
+        wakeUp_.notify();
+    }
+}
+
+void PeerLink::close()
+{
+    isClosing_ = true;
+    if (stream_)
+        stream_->close();
+    wakeUp_.notify();
+}
+
+} // namespace flamingousher::peers
--- /dev/null
+++ b/src/peers/peerserver.cpp
@@ -0,0 +1,161 @@
+#include "peers/peerserver.h"
+
+#include "runtime/fiberthread.h"
+#include "runtime/usefiber.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace flamingousher::peers {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using runtime::useFiber;
+
+namespace {
+
+    constexpr base::Duration HeartbeatInterval = std::chrono::milliseconds(300);
+    constexpr std::chrono::milliseconds HandshakeTimeout { 1'000 };
+    constexpr std::chrono::milliseconds AcceptPauseOnError { 10 };
+
+} // namespace
+
+PeerServer::PeerServer(boost::asio::io_context& io, const PeerIdentity& identity, PeerCounters& counters, Hooks hooks)
+    : io_(io)
+    , identity_(identity)
+    , counters_(counters)
+    , hooks_(std::move(hooks))
+    , acceptor_(io)
+{
+}
+
+error_code PeerServer::listen(const http::Endpoint& endpoint)
+{
+    error_code error;
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        acceptor_.bind(endpoint, error);
+    if (!error)
+        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (!error)
+        runtime::spawnFiber([this] { acceptLoop(); });
+    return error;
+}
+
+void PeerServer::acceptLoop()
+{
+    for (;;) {
+        error_code error;
+        tcp::socket socket = acceptor_.async_accept(useFiber[error]);
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        if (error) {
+            boost::asio::steady_timer pause(io_, AcceptPauseOnError);
+            pause.async_wait(useFiber[error]);
+            continue;
+        }
+        auto shared = std::make_shared<tcp::socket>(std::move(socket));
+        runtime::spawnFiber([this, shared] { runSession(std::move(*shared)); });
+    }
+}
+
+void PeerServer::runSession(tcp::socket socket)
+{
+    const auto session = std::make_shared<Session>();
+    session->stream = std::make_shared<FrameStream>(std::move(socket), identity_, counters_);
+    boost::asio::steady_timer timer(io_, HandshakeTimeout);
+    timer.async_wait([stream = session->stream](const error_code& error) {
+        if (!error)
+            stream->close();
+    });
+    const auto hello = session->stream->handshake(false, hooks_.random());
+    timer.cancel();
+    if (!hello) {
+        session->stream->close();
+        return;
+    }
+    sessions_.insert(session);
+    runtime::spawnFiber([this, session] { writeLoop(session); });
+    for (;;) {
+        auto content = session->stream->receive();
+        auto* batch = content ? std::get_if<wire::Batch>(&*content) : nullptr;
+        if (!batch)
+            break;
+        accept(session, std::move(*batch));
+    }
+    session->isClosed = true;
+    session->stream->close();
+    session->wakeUp.notify();
+    sessions_.erase(session);
+}
+
+void PeerServer::writeLoop(const std::shared_ptr<Session>& session)
+{
+    while (!session->isClosed) {
+        if (session->next.isEmpty() && hooks_.now() - session->lastSent < HeartbeatInterval) {
+            session->wakeUp.wait();
+            continue;
+        }
+        const wire::Batch batch = std::exchange(session->next, {});
+        session->lastSent = hooks_.now();
+        if (!session->stream->send(batch))
+            return;
+    }
+}
+
+void PeerServer::accept(const std::shared_ptr<Session>& session, wire::Batch&& batch)
+{
+    for (wire::RemoteRequest& request : batch.requests)
+        startRequest(session, std::move(request));
+    for (const wire::RemoteCancel& cancel : batch.cancels) {
+        const auto found = session->localIds.find(cancel.id);
+        if (found == session->localIds.end())
+            continue;
+        hooks_.cancel(found->second, cancel.upstream);
+        session->localIds.erase(found);
+    }
+    for (const std::string& upstream : batch.wantedStatuses) {
+        session->wanted.insert(upstream);
+        if (const auto status = hooks_.status(upstream))
+            session->next.statuses.push_back({ upstream, *status });
+    }
+    session->wakeUp.notify();
+}
+
+void PeerServer::startRequest(const std::shared_ptr<Session>& session, wire::RemoteRequest request)
+{
+    const transport::SubRequestId remoteId = request.request.id;
+    const transport::SubRequestId localId = hooks_.nextId();
+    request.request.id = localId;
+    request.request.deadline = hooks_.now() + request.remaining;
+    session->localIds.emplace(remoteId, localId);
+    hooks_.submit(std::move(request), [session, remoteId](transport::SubResult result) {
+        session->localIds.erase(remoteId);
+        if (session->isClosed)
+            return;
+        session->next.results.push_back({ remoteId, std::move(result) });
+        session->wakeUp.notify();
+    });
+}
+
+void PeerServer::publishStatus(const wire::RemoteStatus& status)
+{
+    for (const auto& session : sessions_) {
+        if (!session->wanted.contains(status.upstream))
+            continue;
+        session->next.statuses.push_back(status);
+        session->wakeUp.notify();
+    }
+}
+
+void PeerServer::sweep()
+{
+    const base::TimePoint now = hooks_.now();
+    for (const auto& session : sessions_) {
+        if (!session->localIds.empty() && now - session->lastSent >= HeartbeatInterval)
+            session->wakeUp.notify();
+    }
+}
+
+} // namespace flamingousher::peers
