Put the fleet into the daemon: homes on other nodes, planned leave

Cause: each daemon still held connections to every upstream. Change: the control thread runs the fleet core, the traffic threads hold links to the homes of their upstreams, index versions come from the homes, a planned stop hands its duties over before it ends. Settings now refuse ports that collide with the peers' ports (found when the first traffic thread took the operators' port).

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -59,7 +59,7 @@
 say "publishing the tables"
 bash "$root/examples/make-tables.sh" "$work/tables" $shards 2 20000
 ctl_platform=(--platform 127.0.0.1:17000)
-operators=127.0.0.11:8082,127.0.0.12:8082,127.0.0.13:8082
+operators=127.0.0.11:8090,127.0.0.12:8090,127.0.0.13:8090
 ctl "${ctl_platform[@]}" publish "$work/tables/routes.ini" "$work/tables/pools.ini"
 
 say "starting three daemons, one for each VM"
@@ -68,11 +68,12 @@
 [node]
 name = vm-$vm
 address = 127.0.0.1$vm
+readiness_notice_ms = 300
 zone = $(printf '%b' "\\x6$vm")
 [listen]
 callers = 127.0.0.1$vm:8080
 peers = 127.0.0.1$vm:8081
-operators = 127.0.0.1$vm:8082
+operators = 127.0.0.1$vm:8090
 [platform]
 configuration = 127.0.0.1:17000
 vms = 127.0.0.1:17000
@@ -83,7 +84,7 @@
 done
 daemon_pids=("${pids[@]: -3}")
 put 127.0.0.1 17000 /v1/vms '[{"address":"127.0.0.11:8081","state":"live"},{"address":"127.0.0.12:8081","state":"live"},{"address":"127.0.0.13:8081","state":"live"}]'
-ready() { get "127.0.0.1$1" 8082 /ready | grep -q '^ready'; }
+ready() { get "127.0.0.1$1" 8090 /ready | grep -q '^ready'; }
 for vm in 1 2 3; do wait_for "vm-$vm ready" ready $vm; done
 
 say "a query over $shards shards, against a plain scan of the catalogue"
--- a/src/control/configurationwatcher.cpp
+++ b/src/control/configurationwatcher.cpp
@@ -61,21 +61,25 @@
 bool ConfigurationWatcher::readOnce()
 {
     ++counters_.calls;
+    const std::chrono::milliseconds wait = didAnswer_ ? WatchTime : std::chrono::milliseconds(0);
     const std::string target
-        = "/v1/tables?after=" + std::to_string(known_) + "&wait_ms=" + std::to_string(WatchTime.count());
+        = "/v1/tables?after=" + std::to_string(known_) + "&wait_ms=" + std::to_string(wait.count());
     const auto response
         = http::fetch(io_, endpoint_, http::makeRequest(boost::beast::http::verb::get, target), WatchTimeout);
     if (!response || (response->result() != http::Status::ok && response->result() != http::Status::not_modified)) {
         ++counters_.failures;
         return false;
     }
-    if (response->result() == http::Status::not_modified)
+    if (response->result() == http::Status::not_modified) {
+        didAnswer_ = true;
         return true;
+    }
     std::optional<PublishedTables> published = decode(response->body());
     if (!published) {
         ++counters_.failures;
         return false;
     }
+    didAnswer_ = true;
     if (published->revision <= known_) {
         // A stale replica of the service answers at once: ask again later, not immediately.
         ++counters_.staleReads;
--- a/src/control/configurationwatcher.h
+++ b/src/control/configurationwatcher.h
@@ -43,6 +43,9 @@
     // Revisions up to this one need not be sent again.
     void setKnownRevision(tables::Revision);
 
+    // The service has answered at least once.
+    bool didAnswer() const { return didAnswer_; }
+
     const WatcherCounters& counters() const { return counters_; }
     bool isServiceReachable() const { return isReachable_; }
 
@@ -55,6 +58,7 @@
     Listener listener_;
     WatcherCounters counters_;
     tables::Revision known_ { 0 };
+    bool didAnswer_ { false };
     bool isReachable_ { false };
     bool isPaused_ { false };
     bool isStopping_ { false };
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -7,7 +7,7 @@
 #include <cstring>
 #include <sstream>
 
-DEFINE_string(operators, "127.0.0.1:8082", "Operators' ports, address:port separated by commas.");
+DEFINE_string(operators, "127.0.0.1:8090", "Operators' ports, address:port separated by commas.");
 DEFINE_bool(json, false, "Print JSON.");
 DEFINE_uint64(wait, 0, "With 'config status': wait until this revision is in force on every node.");
 DEFINE_uint32(timeout_ms, 5000, "Time limit of a call and of --wait.");
@@ -35,7 +35,7 @@
   publish ROUTES POOLS                      check the tables and write them to a configuration service stand-in
 
 Options:
-  --operators A:P,A:P   operators' ports to ask (default 127.0.0.1:8082)
+  --operators A:P,A:P   operators' ports to ask (default 127.0.0.1:8090)
   --json                print JSON
   --wait REVISION       config status: wait until the revision is in force on every node asked
   --timeout_ms N        time limit of a call and of --wait (default 5000)
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -2,7 +2,6 @@
 
 #include "http/client.h"
 #include "runtime/usefiber.h"
-#include "tables/tableparser.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
@@ -18,14 +17,18 @@
 
     constexpr std::chrono::milliseconds DrainCheckInterval { 10 };
 
-    // Time for the balancer to see that the process is not ready, before it stops to accept.
-    constexpr std::chrono::milliseconds ReadinessNotice { 500 };
-
-    std::string makeIncarnation()
+    std::uint64_t makeBootNumber()
     {
         std::random_device random;
-        const std::uint64_t high = random();
-        return fmt::format("{:08x}{:08x}", high, random());
+        return (static_cast<std::uint64_t>(random()) << 32) | random();
+    }
+
+    peers::PeerIdentity makeIdentity(const settings::DaemonSettings& settings)
+    {
+        const std::string endpoint = settings.address + ":" + std::to_string(settings.peers.port());
+        return { { { endpoint, makeBootNumber() }, settings.zone, settings.region, http::toString(settings.operators),
+                     settings.trafficThreads },
+            settings.peerKey };
     }
 
     void sleepFor(boost::asio::io_context& io, std::chrono::milliseconds duration)
@@ -39,104 +42,103 @@
 
 Daemon::Daemon(settings::DaemonSettings settings)
     : settings_(std::move(settings))
-    , incarnation_(makeIncarnation())
+    , identity_(makeIdentity(settings_))
     , control_("control")
 {
-    for (std::uint32_t index = 0; index < settings_.trafficThreads; ++index) {
-        const std::string name = incarnation_ + (index == 0 ? "" : "t" + std::to_string(index));
-        traffic_.push_back(std::make_unique<traffic::TrafficThread>(settings_, name, index));
-    }
+    for (std::uint32_t index = 0; index < settings_.trafficThreads; ++index)
+        traffic_.push_back(std::make_unique<traffic::TrafficThread>(settings_, identity_, index));
 }
 
 tl::expected<void, std::string> Daemon::start()
 {
-    const boost::system::error_code operatorsError = control_.call([this] {
+    const auto failed = [](const std::string& what, const http::Endpoint& endpoint, const auto& error) {
+        return tl::unexpected(what + " " + http::toString(endpoint) + ": " + error.message());
+    };
+    control_.call([this] {
         operators_ = std::make_unique<http::Server>(
             control_.io(), http::ServerLimits {}, control::makeOperatorHandler(makeOperatorHooks()));
-        return operators_->listen(settings_.operators);
+        fleet_ = std::make_unique<control::FleetController>(control_.io(), settings_, identity_, makeFleetHooks());
     });
-    if (operatorsError)
-        return tl::unexpected(
-            "operators' port " + http::toString(settings_.operators) + ": " + operatorsError.message());
+    if (const auto error = control_.call([this] { return operators_->listen(settings_.operators); }))
+        return failed("operators' port", settings_.operators, error);
+    if (const auto error = control_.call([this] { return fleet_->listen(); }))
+        return failed("peers' port", settings_.peers, error);
     for (const auto& thread : traffic_) {
-        const boost::system::error_code error = thread->listen();
-        if (error)
-            return tl::unexpected("callers' port " + http::toString(settings_.callers) + ": " + error.message());
+        if (auto listening = thread->listen(); !listening)
+            return listening;
     }
-    control_.post([this] {
-        watcher_ = std::make_unique<control::ConfigurationWatcher>(control_.io(), settings_.configuration,
-            [this](const control::PublishedTables& published) { onPublished(published); });
-        watcher_->run();
-    });
-    spdlog::info("{} started, incarnation {}, callers {}, operators {}", settings_.name, incarnation_,
-        http::toString(settings_.callers), http::toString(settings_.operators));
+    control_.call([this] { fleet_->start(); });
+    spdlog::info("{} started: callers {}, peers {}, operators {}", settings_.name, http::toString(settings_.callers),
+        http::toString(settings_.peers), http::toString(settings_.operators));
     return {};
 }
 
-void Daemon::onPublished(const control::PublishedTables& published)
+control::FleetController::Hooks Daemon::makeFleetHooks()
 {
-    if (tables_ && published.revision <= tables_->revision)
-        return;
-    const auto parsed = tables::parseTables(published.revision, published.routes, published.pools);
-    if (!parsed) {
-        refusedRevision_ = published.revision;
-        refusedFaults_.clear();
-        for (const tables::Fault& fault : parsed.error())
-            refusedFaults_.push_back(toString(fault));
-        spdlog::warn("configuration {} refused: {} faults, first: {}", published.revision, refusedFaults_.size(),
-            refusedFaults_.front());
-        return;
-    }
-    tables_ = std::make_shared<const tables::Tables>(*parsed);
+    return {
+        [this](const std::shared_ptr<const tables::Tables>& tables) {
+            for (const auto& thread : traffic_)
+                thread->applyTables(tables);
+        },
+        [this](const control::FleetController& fleet) { return applyHomes(fleet); },
+        [this] { return closingUpstreams(); },
+        [](const fleet::CrashEvidence&) {},
+    };
+}
+
+std::set<std::string> Daemon::applyHomes(const control::FleetController& fleet)
+{
+    const auto view = std::make_shared<const traffic::HomeView>(
+        traffic::HomeView { fleet.core().homes().homes(), fleet.servingUpstreams(), fleet.core().seenForShare(),
+            fleet.core().listedForShare(), fleet.leavingAddresses() });
+    std::set<std::string> closing;
     for (const auto& thread : traffic_)
-        thread->applyTables(tables_);
-    spdlog::info("configuration {} in force", tables_->revision);
+        closing.merge(thread->applyHomes(view));
+    return closing;
+}
+
+std::set<std::string> Daemon::closingUpstreams()
+{
+    std::set<std::string> closing;
+    for (const auto& thread : traffic_)
+        closing.merge(thread->closingUpstreams());
+    return closing;
 }
 
 control::OperatorHooks Daemon::makeOperatorHooks()
 {
     return {
         [this] { return stateJson(); },
-        [this] { return configurationJson(); },
-        [] { return std::string("[]"); },
-        [this] {
-            metrics_.gauge("flamingousher_configuration_revision", "Revision of the configuration in force.")
-                .set(tables_ ? static_cast<double>(tables_->revision) : 0);
-            metrics_.gauge("flamingousher_configuration_refused_revision", "Newest revision refused, 0 if none.")
-                .set(static_cast<double>(refusedRevision_));
-            metrics::Snapshot snapshot = metrics_.snapshot();
-            for (const auto& thread : traffic_)
-                snapshot.merge(thread->metrics());
-            return snapshot;
-        },
+        [this] { return fleet_->configurationJson(); },
+        [this] { return fleet_->peersJson(); },
+        [this] { return collectMetrics(); },
         [this] { return isReady(); },
-        [this](const std::string& id) {
-            std::optional<accounts::RequestRecord> found;
-            for (const auto& thread : traffic_) {
-                if (!found)
-                    found = thread->findRecord(id);
-            }
-            return found;
-        },
+        [this](const std::string& id) { return findRecord(id); },
     };
 }
 
-bool Daemon::isReady()
+metrics::Snapshot Daemon::collectMetrics()
 {
-    return !isStopping_ && std::ranges::all_of(traffic_, [](const auto& thread) { return thread->isReady(); });
+    fleet_->collectMetrics(metrics_);
+    metrics::Snapshot snapshot = metrics_.snapshot();
+    for (const auto& thread : traffic_)
+        snapshot.merge(thread->metrics());
+    return snapshot;
 }
 
-std::string Daemon::configurationJson() const
+std::optional<accounts::RequestRecord> Daemon::findRecord(const std::string& id)
 {
-    boost::json::array faults;
-    for (const std::string& fault : refusedFaults_)
-        faults.emplace_back(fault);
-    return boost::json::serialize(boost::json::object {
-        { "revision", tables_ ? tables_->revision : 0 },
-        { "refused_revision", refusedRevision_ },
-        { "refused_faults", std::move(faults) },
-        { "service_reachable", watcher_ && watcher_->isServiceReachable() },
-    });
+    for (const auto& thread : traffic_) {
+        if (auto record = thread->findRecord(id))
+            return record;
+    }
+    return std::nullopt;
+}
+
+bool Daemon::isReady()
+{
+    return !isStopping_ && fleet_->mayServe()
+        && std::ranges::all_of(traffic_, [](const auto& thread) { return thread->isReady(); });
 }
 
 std::string Daemon::stateJson()
@@ -147,10 +149,10 @@
     return boost::json::serialize(boost::json::object {
         { "node", settings_.name },
         { "zone", settings_.zone },
-        { "incarnation", incarnation_ },
         { "ready", isReady() },
         { "stopping", isStopping_ },
-        { "configuration", boost::json::parse(configurationJson()) },
+        { "configuration", boost::json::parse(fleet_->configurationJson()) },
+        { "fleet", boost::json::parse(fleet_->peersJson()) },
         { "traffic", std::move(threads) },
     });
 }
@@ -165,23 +167,33 @@
     return shutDown();
 }
 
+bool Daemon::waitUntil(base::TimePoint end, const std::function<bool(traffic::TrafficThread&)>& isDone)
+{
+    const auto isThreadDone = [&](const auto& thread) { return isDone(*thread); };
+    while (!std::ranges::all_of(traffic_, isThreadDone)) {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        sleepFor(control_.io(), DrainCheckInterval);
+    }
+    return true;
+}
+
+// First the balancer sees that the process is not ready, then callers' requests end, then the duties go to
+// other nodes, and last the work of other nodes ends.
 bool Daemon::shutDown()
 {
     return control_.call([this] {
         isStopping_ = true;
         spdlog::info("{} is leaving: finishing what is in flight", settings_.name);
-        sleepFor(control_.io(), ReadinessNotice);
-        for (const auto& thread : traffic_)
-            thread->beginShutdown();
-        const auto isIdle = [](const auto& thread) { return thread->isIdle(); };
         const base::TimePoint end
             = std::chrono::steady_clock::now() + std::chrono::milliseconds(settings_.shutdownTimeoutMs);
-        while (!std::ranges::all_of(traffic_, isIdle)) {
-            if (std::chrono::steady_clock::now() >= end)
-                return false;
-            sleepFor(control_.io(), DrainCheckInterval);
-        }
-        return true;
+        sleepFor(control_.io(), std::chrono::milliseconds(settings_.readinessNoticeMs));
+        for (const auto& thread : traffic_)
+            thread->beginShutdown();
+        const bool didCallersEnd = waitUntil(end, [](auto& thread) { return thread.areCallersIdle(); });
+        fleet_->leave();
+        const bool didWorkEnd = waitUntil(end, [](auto& thread) { return thread.areHomesIdle(); });
+        return didCallersEnd && didWorkEnd;
     });
 }
 
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "control/configurationwatcher.h"
+#include "control/fleetcontroller.h"
 #include "control/operatorserver.h"
 #include "runtime/fiberthread.h"
 #include "settings/daemonsettings.h"
-#include "tables/types.h"
 #include "traffic/trafficthread.h"
 
 #include <memory>
@@ -13,7 +12,7 @@
 
 namespace flamingousher::daemon {
 
-// The whole process: one control thread and the traffic threads.
+// The whole process: one control thread and the traffic threads. All wiring between modules stands here.
 class Daemon {
 public:
     explicit Daemon(settings::DaemonSettings);
@@ -26,22 +25,23 @@
     bool runUntilStopped();
 
 private:
-    void onPublished(const control::PublishedTables&);
+    control::FleetController::Hooks makeFleetHooks();
     control::OperatorHooks makeOperatorHooks();
-    std::string configurationJson() const;
+    std::set<std::string> applyHomes(const control::FleetController&);
+    std::set<std::string> closingUpstreams();
+    std::optional<accounts::RequestRecord> findRecord(const std::string& id);
+    metrics::Snapshot collectMetrics();
     std::string stateJson();
     bool isReady();
     bool shutDown();
+    bool waitUntil(base::TimePoint end, const std::function<bool(traffic::TrafficThread&)>& isDone);
 
     settings::DaemonSettings settings_;
-    std::string incarnation_;
+    peers::PeerIdentity identity_;
     std::vector<std::unique_ptr<traffic::TrafficThread>> traffic_;
     runtime::FiberThread control_;
     std::unique_ptr<http::Server> operators_;
-    std::unique_ptr<control::ConfigurationWatcher> watcher_;
-    std::shared_ptr<const tables::Tables> tables_;
-    tables::Revision refusedRevision_ { 0 };
-    std::vector<std::string> refusedFaults_;
+    std::unique_ptr<control::FleetController> fleet_;
     metrics::Registry metrics_;
     bool isStopping_ { false };
 };
--- a/src/fleet/fleetcore.h
+++ b/src/fleet/fleetcore.h
@@ -90,6 +90,10 @@
     // The part of an upstream's limit that this node may use as its home now.
     std::uint32_t shareOf(std::uint32_t limit) const;
 
+    // Nodes seen of nodes listed, as it counts for shares.
+    std::size_t seenForShare() const { return share_.seen; }
+    std::size_t listedForShare() const { return share_.listed; }
+
     const Membership& membership() const { return membership_; }
     const ConfigurationStore& configuration() const { return configuration_; }
     const HomeDuties& homes() const { return homes_; }
--- a/src/fleet/homeduties.cpp
+++ b/src/fleet/homeduties.cpp
@@ -155,6 +155,16 @@
     return duty != duties_.end() && (duty->second.isReleased || now >= duty->second.servesFrom);
 }
 
+std::set<std::string> HomeDuties::servingAt(base::TimePoint now) const
+{
+    std::set<std::string> serving;
+    for (const auto& [upstream, duty] : duties_) {
+        if (isServing(upstream, now))
+            serving.insert(upstream);
+    }
+    return serving;
+}
+
 bool HomeDuties::isOwn(const std::string& upstream) const { return duties_.contains(upstream); }
 
 std::uint32_t shareOfLimit(std::uint32_t limit, std::size_t seen, std::size_t listed)
--- a/src/fleet/homeduties.h
+++ b/src/fleet/homeduties.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,12 @@
     // The home in the present view, null when there is none.
     const NodeInfo* homeOf(const HomeKey&) const;
 
+    // The home of each upstream in the present view.
+    const std::map<std::string, NodeInfo>& homes() const { return homes_; }
+
+    // The upstreams on which this node may start work.
+    std::set<std::string> servingAt(base::TimePoint now) const;
+
     std::size_t ownCount() const { return duties_.size(); }
 
 private:
--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -40,6 +40,11 @@
             reader.rejectUnknownKeys();
         }
 
+        void addFault(const std::string& section, const std::string& key, const std::string& message)
+        {
+            faults_.push_back({ file_, section, key, message });
+        }
+
         std::vector<Fault> finish()
         {
             for (const IniSection& section : document_.sections) {
@@ -88,6 +93,8 @@
                 section.addFault("address", "'" + settings.address + "' is not an IP number");
             settings.zone = section.text("zone");
             settings.region = section.text("region", "default");
+            settings.readinessNoticeMs
+                = static_cast<std::uint32_t>(section.integer("readiness_notice_ms", 0, LongestShutdownMs, 2'000));
             settings.shutdownTimeoutMs
                 = static_cast<std::uint32_t>(section.integer("shutdown_timeout_ms", 100, LongestShutdownMs, 20'000));
         });
@@ -115,6 +122,23 @@
         return settings;
     }
 
+    // Each traffic thread listens for peers on a port of its own after that of the control thread.
+    void checkPorts(const DaemonSettings& settings, SettingsReader& reader)
+    {
+        const std::uint32_t first = settings.peers.port();
+        const std::uint32_t last = first + settings.trafficThreads;
+        const auto collides = [&](const http::Endpoint& endpoint) {
+            return endpoint.address() == settings.peers.address() && endpoint.port() >= first
+                && endpoint.port() <= last;
+        };
+        const std::string message
+            = "is among the peers' ports " + std::to_string(first) + " to " + std::to_string(last);
+        if (collides(settings.callers))
+            reader.addFault("listen", "callers", message);
+        if (collides(settings.operators))
+            reader.addFault("listen", "operators", message);
+    }
+
 } // namespace
 
 tl::expected<DaemonSettings, std::vector<std::string>> loadSettings(const std::string& file)
@@ -134,6 +158,7 @@
         return tl::unexpected(std::vector<std::string> { file + ": " + document.error() });
     SettingsReader reader(file, *document);
     DaemonSettings settings = readAll(reader);
+    checkPorts(settings, reader);
     std::vector<std::string> lines;
     for (const Fault& fault : reader.finish())
         lines.push_back(toString(fault));
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -17,12 +17,13 @@
     std::string zone; // [node] zone: availability zone
     std::string region; // [node] region
     http::Endpoint callers; // [listen] callers
-    http::Endpoint peers; // [listen] peers
+    http::Endpoint peers; // [listen] peers: the first of one port more than there are traffic threads
     http::Endpoint operators; // [listen] operators
     http::Endpoint configuration; // [platform] configuration
     http::Endpoint vms; // [platform] vms
     std::string peerKey; // [peers] key: shared secret of the fleet, at least 16 characters
     std::uint32_t trafficThreads { 1 }; // [threads] traffic
+    std::uint32_t readinessNoticeMs { 2'000 }; // [node] readiness_notice_ms
     std::uint32_t shutdownTimeoutMs { 20'000 }; // [node] shutdown_timeout_ms
     std::string logLevel { "info" }; // [log] level
     std::string logFormat { "text" }; // [log] format: text or json
--- a/src/settings/tests/daemonsettingstests.cpp
+++ b/src/settings/tests/daemonsettingstests.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 const std::string Valid = "[node]\nname = vm-1\naddress = 127.0.0.1\nzone = a\n"
-                          "[listen]\ncallers = 127.0.0.1:8080\npeers = 127.0.0.1:8081\noperators = 127.0.0.1:8082\n"
+                          "[listen]\ncallers = 127.0.0.1:8080\npeers = 127.0.0.1:8081\noperators = 127.0.0.1:8090\n"
                           "[platform]\nconfiguration = 127.0.0.1:7000\nvms = 127.0.0.1:7000\n"
                           "[peers]\nkey = 0123456789abcdef\n";
 
@@ -29,6 +29,7 @@
     cr_assert(settings.has_value());
     cr_expect_eq(settings->name, "vm-1");
     cr_expect_eq(settings->callers.port(), 8080);
+    cr_expect_eq(settings->operators.port(), 8090);
     cr_expect_eq(settings->trafficThreads, 1u);
 }
 
@@ -41,6 +42,13 @@
     cr_expect(rejects("[node", "f.ini: line 1"));
 }
 
+Test(DaemonSettings, rejectsPortsThatCollide)
+{
+    std::string text = Valid;
+    text.replace(text.find("127.0.0.1:8090"), 14, "127.0.0.1:8082");
+    cr_expect(rejects(text, "[listen] operators: is among the peers' ports 8081 to 8082"));
+}
+
 Test(DaemonSettings, rejectsUnreadableFile)
 {
     const auto settings = loadSettings("/nonexistent/f.ini");
--- a/src/traffic/homeset.cpp
+++ b/src/traffic/homeset.cpp
@@ -1,7 +1,6 @@
 #include "traffic/homeset.h"
 
 #include <algorithm>
-#include <set>
 
 namespace flamingousher::traffic {
 
@@ -92,6 +91,22 @@
         link->beginShutdown();
 }
 
+std::set<std::string> HomeSet::closingUpstreams() const
+{
+    std::set<std::string> names;
+    for (const auto& link : closing_) {
+        if (!link->isIdle())
+            names.insert(link->upstream().name);
+    }
+    return names;
+}
+
+const transport::UpstreamStatus* HomeSet::status(query::UpstreamId upstream) const
+{
+    const auto found = links_.find(upstream);
+    return found == links_.end() || found->second->status().served.empty() ? nullptr : &found->second->status();
+}
+
 bool HomeSet::isIdle() const
 {
     return closing_.empty() && std::ranges::all_of(links_, [](const auto& entry) { return entry.second->isIdle(); });
--- a/src/traffic/homeset.h
+++ b/src/traffic/homeset.h
@@ -9,6 +9,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace flamingousher::traffic {
 
@@ -36,6 +39,12 @@
     void beginShutdown();
     bool isIdle() const;
 
+    // Upstreams that are no longer served here but have work in flight.
+    std::set<std::string> closingUpstreams() const;
+
+    // Status of an upstream of which this thread is the home.
+    const transport::UpstreamStatus* status(query::UpstreamId) const;
+
     const std::map<query::UpstreamId, std::shared_ptr<transport::UpstreamLink>>& links() const { return links_; }
 
 private:
--- /dev/null
+++ b/src/traffic/internal/trafficstate.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "http/server.h"
+#include "peers/peerlink.h"
+#include "peers/peerserver.h"
+#include "traffic/homeset.h"
+#include "traffic/homeview.h"
+#include "traffic/requesthandler.h"
+#include "traffic/trafficcontext.h"
+#include "traffic/trafficthread.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace flamingousher::traffic {
+
+// Everything that one traffic thread owns. Used on that thread only.
+struct TrafficThread::State {
+    State(boost::asio::io_context&, const peers::PeerIdentity&, std::uint32_t threadIndex);
+
+    void sweep();
+    void applyTables(const std::shared_ptr<const tables::Tables>&);
+    void applyHomes(const std::shared_ptr<const HomeView>&);
+    bool isReady() const;
+    std::string describe();
+    metrics::Snapshot collectMetrics();
+
+    // Sends a sub-request to the home of its upstream, here or on another node.
+    void dispatch(transport::SubRequest, transport::SubCallback);
+    void cancel(query::SubRequestId, query::UpstreamId);
+
+    HomeSet::Hooks makeHomeHooks();
+    peers::PeerServer::Hooks makePeerServerHooks();
+    void applyPools(const tables::Tables&);
+    void refreshLinks();
+    void noteStatus(query::UpstreamId, const transport::UpstreamStatus&);
+    bool isLeaving(const tables::Upstream&) const;
+    const fleet::NodeInfo* homeOf(const std::string& upstream) const;
+    std::uint32_t threadOf(const std::string& upstream, const fleet::NodeInfo& home) const;
+    bool isHere(const std::string& upstream, const fleet::NodeInfo& home) const;
+    std::shared_ptr<peers::PeerLink> linkTo(const std::string& upstream, const fleet::NodeInfo& home);
+
+    const peers::PeerIdentity& identity;
+    std::uint32_t index;
+    TrafficContext context;
+    std::shared_ptr<const HomeView> view;
+    std::map<std::string, query::UpstreamId> idsByName; // of the tables in force
+    base::TimePoint tablesSince;
+    RequestHandler handler;
+    HomeSet homes;
+    peers::PeerCounters peerCounters;
+    std::map<std::string, std::shared_ptr<peers::PeerLink>> links; // by endpoint
+    peers::PeerServer peerServer;
+    http::Server server;
+};
+
+} // namespace flamingousher::traffic
--- a/src/traffic/trafficthread.h
+++ b/src/traffic/trafficthread.h
@@ -3,9 +3,11 @@
 #include "accounts/requestrecord.h"
 #include "http/server.h"
 #include "metrics/registry.h"
+#include "peers/framestream.h"
 #include "runtime/fiberthread.h"
 #include "settings/daemonsettings.h"
 #include "tables/types.h"
+#include "traffic/homeview.h"
 
 #include <memory>
 #include <optional>
@@ -17,14 +19,21 @@
 // thread is the home. The functions are callable from the control thread.
 class TrafficThread {
 public:
-    TrafficThread(const settings::DaemonSettings&, const std::string& incarnation, std::uint32_t index);
+    TrafficThread(const settings::DaemonSettings&, const peers::PeerIdentity&, std::uint32_t index);
     ~TrafficThread();
 
-    // Begins to listen for callers.
-    boost::system::error_code listen();
+    // Begins to listen for callers and for other nodes.
+    tl::expected<void, std::string> listen();
 
     void applyTables(const std::shared_ptr<const tables::Tables>&);
 
+    // Opens and closes links to upstreams by the view. Returns the upstreams that are no longer served here but
+    // have work in flight.
+    std::set<std::string> applyHomes(const std::shared_ptr<const HomeView>&);
+
+    // The present answer of the same kind.
+    std::set<std::string> closingUpstreams();
+
     // True when the index versions of every search pool are known.
     bool isReady();
 
@@ -35,7 +44,12 @@
 
     // Takes no new work. Work in flight goes on.
     void beginShutdown();
-    bool isIdle();
+
+    // No caller's request is in progress.
+    bool areCallersIdle();
+
+    // No work for an upstream is in progress.
+    bool areHomesIdle();
 
 private:
     struct State;
@@ -44,6 +58,8 @@
 
     runtime::FiberThread thread_;
     settings::DaemonSettings settings_;
+    peers::PeerIdentity identity_;
+    std::uint32_t index_;
     std::unique_ptr<State> state_;
 };
 
--- a/src/upstreams/upstreamqueue.cpp
+++ b/src/upstreams/upstreamqueue.cpp
@@ -66,9 +66,9 @@
 {
     if (waiting_[indexOf(rank)].isEmpty())
         return false;
-    const std::size_t others = settings_.slots - 1;
-    if (others == 0)
+    if (settings_.slots <= 1)
         return true;
+    const std::size_t others = settings_.slots - 1;
     for (Rank higher : base::AllRanks) {
         if (higher >= rank)
             break;
