--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -105,7 +105,8 @@
 printf '%s\n' "$answer" | grep -o '"coverage":{"answered":[0-9]*,"asked":[0-9]*'
 printf '%s\n' "$answer" | grep -q '"partial":true'
 request=$(printf '%s\n' "$answer" | grep -o '"request_id":"[^"]*"' | cut -d'"' -f4)
-ctl explain "$request" | head -12
+ctl explain "$request" > "$work/explained"
+head -12 "$work/explained"
 
 say "an edit of a table, in force on every node"
 sed -i 's/target_ms = 2000/target_ms = 1500/' "$work/tables/routes.ini"
--- a/src/admission/tests/gatetests.cpp
+++ b/src/admission/tests/gatetests.cpp
@@ -13,7 +13,10 @@
 const base::TimePoint Soon = Start + milliseconds(86);
 const base::TimePoint Tomorrow = Start + std::chrono::hours(10);
 
-Gate gateWithLimit(double limit) { return Gate({ .initialLimit = limit }); }
+Gate gateWithLimit(double limit)
+{
+    return Gate({ .initialLimit = limit });
+}
 
 } // namespace
 
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -68,6 +68,8 @@
         return "cancelled";
     case ErrorCode::NotReady:
         return "not_ready";
+    case ErrorCode::UpstreamCrashed:
+        return "upstream_crashed";
     case ErrorCode::Invalid:
         return "invalid";
     }
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -40,6 +40,7 @@
     Quarantined,
     Cancelled,
     NotReady,
+    UpstreamCrashed,
     Invalid,
 };
 
--- a/src/base/types.cpp
+++ b/src/base/types.cpp
@@ -37,6 +37,9 @@
     return std::nullopt;
 }
 
-double toMilliseconds(Duration duration) { return std::chrono::duration<double, std::milli>(duration).count(); }
+double toMilliseconds(Duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
 
 } // namespace flamingousher::base
--- a/src/base/types.h
+++ b/src/base/types.h
@@ -34,7 +34,10 @@
 std::string_view toString(RunState);
 std::optional<Rank> rankFromString(std::string_view);
 
-constexpr std::size_t indexOf(Rank rank) { return static_cast<std::size_t>(rank); }
+constexpr std::size_t indexOf(Rank rank)
+{
+    return static_cast<std::size_t>(rank);
+}
 
 double toMilliseconds(Duration);
 
--- a/src/control/configurationwatcher.cpp
+++ b/src/control/configurationwatcher.cpp
@@ -43,7 +43,10 @@
 {
 }
 
-void ConfigurationWatcher::setKnownRevision(tables::Revision revision) { known_ = std::max(known_, revision); }
+void ConfigurationWatcher::setKnownRevision(tables::Revision revision)
+{
+    known_ = std::max(known_, revision);
+}
 
 void ConfigurationWatcher::run()
 {
--- a/src/control/fleetcontroller.cpp
+++ b/src/control/fleetcontroller.cpp
@@ -85,7 +85,10 @@
     };
 }
 
-boost::system::error_code FleetController::listen() { return transport_.listen(settings_.peers); }
+boost::system::error_code FleetController::listen()
+{
+    return transport_.listen(settings_.peers);
+}
 
 void FleetController::start()
 {
@@ -173,11 +176,20 @@
     }
 }
 
-void FleetController::spreadCrash(const fleet::CrashEvidence& evidence) { core_.spreadCrash(evidence); }
+void FleetController::spreadCrash(const fleet::CrashEvidence& evidence)
+{
+    step([&](base::TimePoint) { return core_.spreadCrash(evidence); });
+}
 
-bool FleetController::mayServe() const { return core_.mayServe(now()); }
+bool FleetController::mayServe() const
+{
+    return core_.mayServe(now());
+}
 
-std::set<std::string> FleetController::servingUpstreams() const { return core_.homes().servingAt(now()); }
+std::set<std::string> FleetController::servingUpstreams() const
+{
+    return core_.homes().servingAt(now());
+}
 
 std::string FleetController::configurationJson() const
 {
--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -204,9 +204,15 @@
     return ExitCode::Success;
 }
 
-ExitCode showState(const Options& options) { return showEach(options, "/state"); }
+ExitCode showState(const Options& options)
+{
+    return showEach(options, "/state");
+}
 
-ExitCode showPeers(const Options& options) { return showEach(options, "/peers"); }
+ExitCode showPeers(const Options& options)
+{
+    return showEach(options, "/peers");
+}
 
 ExitCode showTop(const Options& options)
 {
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -46,7 +46,10 @@
     , control_("control")
 {
     for (std::uint32_t index = 0; index < settings_.trafficThreads; ++index)
-        traffic_.push_back(std::make_unique<traffic::TrafficThread>(settings_, identity_, index));
+        traffic_.push_back(std::make_unique<traffic::TrafficThread>(
+            settings_, identity_, index, [this](const fleet::CrashEvidence& evidence) {
+                control_.post([this, evidence] { fleet_->spreadCrash(evidence); });
+            }));
 }
 
 tl::expected<void, std::string> Daemon::start()
@@ -82,7 +85,10 @@
         },
         [this](const control::FleetController& fleet) { return applyHomes(fleet); },
         [this] { return closingUpstreams(); },
-        [](const fleet::CrashEvidence&) {},
+        [this](const fleet::CrashEvidence& evidence) {
+            for (const auto& thread : traffic_)
+                thread->noteCrash(evidence);
+        },
     };
 }
 
@@ -90,7 +96,7 @@
 {
     const auto view = std::make_shared<const traffic::HomeView>(
         traffic::HomeView { fleet.core().homes().homes(), fleet.servingUpstreams(), fleet.core().seenForShare(),
-            fleet.core().listedForShare(), fleet.leavingAddresses() });
+            fleet.core().listedForShare(), fleet.core().membership().aliveNodes(), fleet.leavingAddresses() });
     std::set<std::string> closing;
     for (const auto& thread : traffic_)
         closing.merge(thread->applyHomes(view));
--- a/src/fleet/fleetcore.cpp
+++ b/src/fleet/fleetcore.cpp
@@ -33,7 +33,10 @@
               hooks_.random,
               [this] { isViewChanged_ = true; },
               [this](const NodeInfo& from, const ConfigurationMark& mark) { onConfigurationHeard(from, mark); },
-              [this](const CrashEvidence& evidence) { hooks_.onCrash(evidence); },
+              [this](const CrashEvidence& evidence) {
+                  isCrashNew_ = true;
+                  hooks_.onCrash(evidence);
+              },
           })
     , homes_(self.id, homeSettings)
     , startedAt_(now)
@@ -163,7 +166,10 @@
     return count;
 }
 
-std::uint32_t FleetCore::shareOf(std::uint32_t limit) const { return shareOfLimit(limit, share_.seen, share_.listed); }
+std::uint32_t FleetCore::shareOf(std::uint32_t limit) const
+{
+    return shareOfLimit(limit, share_.seen, share_.listed);
+}
 
 std::vector<FleetOutgoing> FleetCore::receive(const FleetMessage& message, base::TimePoint now)
 {
@@ -189,6 +195,8 @@
         if (configuration_.applyDelta(reply.delta) == ApplyVerdict::InForce)
             outgoing = announce();
     }
+    if (std::exchange(isCrashNew_, false))
+        append(outgoing, widen(membership_.announce(AnnouncementFanOut)));
     refreshView(now);
     append(outgoing, std::exchange(pendingRequests_, {}));
     return outgoing;
@@ -250,6 +258,13 @@
     return widen(membership_.leave(now));
 }
 
+std::vector<FleetOutgoing> FleetCore::spreadCrash(const CrashEvidence& evidence)
+{
+    membership_.spreadCrash(evidence);
+    isCrashNew_ = false;
+    return widen(membership_.announce(AnnouncementFanOut));
+}
+
 bool FleetCore::chooseWatcher(std::vector<NodeInfo> nodes) const
 {
     std::erase_if(nodes, [&](const NodeInfo& node) { return node.zone != membership_.self().zone; });
--- a/src/fleet/fleetcore.h
+++ b/src/fleet/fleetcore.h
@@ -78,7 +78,8 @@
     // Gives up all duties and tells the others.
     std::vector<FleetOutgoing> leave(base::TimePoint now);
 
-    void spreadCrash(const CrashEvidence& evidence) { membership_.spreadCrash(evidence); }
+    // Tells the fleet of a crash. New evidence is passed on at once: the request may come again by another node.
+    std::vector<FleetOutgoing> spreadCrash(const CrashEvidence&);
 
     // True when this node is one of the few in its zone that watch the configuration service.
     bool isWatcher() const { return isWatcher_; }
@@ -138,6 +139,7 @@
     base::TimePoint lastTick_;
     std::size_t listedCount_ { 1 };
     bool isWatcher_ { false };
+    bool isCrashNew_ { false };
     bool isViewChanged_ { true };
     bool didServiceAnswer_ { false };
     bool isLeaving_ { false };
--- a/src/fleet/homeduties.cpp
+++ b/src/fleet/homeduties.cpp
@@ -165,7 +165,10 @@
     return serving;
 }
 
-bool HomeDuties::isOwn(const std::string& upstream) const { return duties_.contains(upstream); }
+bool HomeDuties::isOwn(const std::string& upstream) const
+{
+    return duties_.contains(upstream);
+}
 
 std::uint32_t shareOfLimit(std::uint32_t limit, std::size_t seen, std::size_t listed)
 {
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -29,7 +29,10 @@
         return update.state > member.state;
     }
 
-    bool isUp(MemberState state) { return state == MemberState::Alive || state == MemberState::Suspect; }
+    bool isUp(MemberState state)
+    {
+        return state == MemberState::Alive || state == MemberState::Suspect;
+    }
 
 } // namespace
 
--- a/src/fleet/tests/fleetrun.cpp
+++ b/src/fleet/tests/fleetrun.cpp
@@ -8,7 +8,10 @@
 
     const std::string Routes = "[route find]\nmethod = GET\npath = /\npool = p\nrank = urgent\ntarget_ms = 86\n";
 
-    std::string zoneName(std::size_t zone) { return "z" + std::to_string(zone); }
+    std::string zoneName(std::size_t zone)
+    {
+        return "z" + std::to_string(zone);
+    }
 
 } // namespace
 
@@ -56,7 +59,10 @@
     }
 }
 
-void FleetRun::kill(std::size_t node) { nodes_[node].core.reset(); }
+void FleetRun::kill(std::size_t node)
+{
+    nodes_[node].core.reset();
+}
 
 void FleetRun::unlist(std::size_t node)
 {
--- a/src/fleet/tests/homedutiestests.cpp
+++ b/src/fleet/tests/homedutiestests.cpp
@@ -18,7 +18,10 @@
 
 const std::vector<HomeKey> Keys { { "u0", "z" }, { "u1", "z" }, { "u2", "z" }, { "u3", "z" }, { "u4", "z" } };
 
-bool isIdle(const std::string&) { return false; }
+bool isIdle(const std::string&)
+{
+    return false;
+}
 
 } // namespace
 
--- a/src/fleet/tests/membershiptests.cpp
+++ b/src/fleet/tests/membershiptests.cpp
@@ -11,14 +11,20 @@
 
 const base::TimePoint Start { std::chrono::hours(1) };
 
-NodeInfo node(const std::string& endpoint, std::uint64_t boot) { return { { endpoint, boot }, "z", "r", "", 1 }; }
+NodeInfo node(const std::string& endpoint, std::uint64_t boot)
+{
+    return { { endpoint, boot }, "z", "r", "", 1 };
+}
 
 Membership::Hooks quietHooks()
 {
     return { [] { return 0; }, [] {}, [](const NodeInfo&, const ConfigurationMark&) {}, [](const CrashEvidence&) {} };
 }
 
-Membership makeMembership() { return Membership(node("a", 1), {}, quietHooks()); }
+Membership makeMembership()
+{
+    return Membership(node("a", 1), {}, quietHooks());
+}
 
 void introduce(Membership& membership, const NodeInfo& other)
 {
--- a/src/fleet/types.cpp
+++ b/src/fleet/types.cpp
@@ -2,7 +2,10 @@
 
 namespace flamingousher::fleet {
 
-std::string toString(const NodeId& id) { return id.endpoint + "#" + std::to_string(id.boot); }
+std::string toString(const NodeId& id)
+{
+    return id.endpoint + "#" + std::to_string(id.boot);
+}
 
 std::string_view toString(MemberState state)
 {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -79,7 +79,10 @@
     state_->handler = std::move(handler);
 }
 
-Server::~Server() { beginShutdown(); }
+Server::~Server()
+{
+    beginShutdown();
+}
 
 error_code Server::listen(const Endpoint& endpoint, bool isShared)
 {
@@ -103,7 +106,10 @@
     return {};
 }
 
-Endpoint Server::localEndpoint() const { return acceptor_->local_endpoint(); }
+Endpoint Server::localEndpoint() const
+{
+    return acceptor_->local_endpoint();
+}
 
 void Server::acceptLoop(const std::shared_ptr<tcp::acceptor>& acceptor)
 {
--- /dev/null
+++ b/src/identity/identitykeeper.cpp
@@ -0,0 +1,145 @@
+#include "identity/identitykeeper.h"
+
+#include <charconv>
+#include <vector>
+
+namespace flamingousher::identity {
+
+namespace {
+
+    constexpr char Separator = '~';
+
+    std::optional<std::uint64_t> parseNumber(const std::string& text)
+    {
+        std::uint64_t number = 0;
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (error != std::errc() || end != text.data() + text.size() || text.empty())
+            return std::nullopt;
+        return number;
+    }
+
+    std::vector<std::string> split(const std::string& text)
+    {
+        std::vector<std::string> parts(1);
+        for (char character : text) {
+            if (character == Separator)
+                parts.emplace_back();
+            else
+                parts.back() += character;
+        }
+        return parts;
+    }
+
+} // namespace
+
+std::string toString(const Identity& identity)
+{
+    return identity.endpoint + Separator + std::to_string(identity.boot) + Separator + std::to_string(identity.number)
+        + Separator + std::to_string(identity.nonce);
+}
+
+std::optional<Identity> parseIdentity(const std::string& text)
+{
+    const std::vector<std::string> parts = split(text);
+    if (parts.size() != 4)
+        return std::nullopt;
+    const auto boot = parseNumber(parts[1]);
+    const auto number = parseNumber(parts[2]);
+    const auto nonce = parseNumber(parts[3]);
+    if (!boot || !number || !nonce)
+        return std::nullopt;
+    return Identity { parts[0], *boot, *number, *nonce };
+}
+
+IdentityKeeper::IdentityKeeper(
+    const std::string& endpoint, std::uint64_t boot, KeeperSettings settings, std::function<std::uint64_t()> random)
+    : endpoint_(endpoint)
+    , boot_(boot)
+    , settings_(settings)
+    , random_(std::move(random))
+{
+}
+
+void IdentityKeeper::expire(base::TimePoint now)
+{
+    while (!entries_.empty()) {
+        const Entry& oldest = entries_.begin()->second;
+        if (oldest.expiresAt > now || oldest.state == State::Running)
+            return;
+        entries_.erase(entries_.begin());
+    }
+}
+
+std::optional<std::string> IdentityKeeper::issue(base::TimePoint now)
+{
+    expire(now);
+    if (entries_.size() >= settings_.capacity)
+        return std::nullopt;
+    const Identity identity { endpoint_, boot_, ++lastNumber_, random_() };
+    entries_.emplace(identity.number, Entry { identity.nonce, now + settings_.lifetime });
+    return toString(identity);
+}
+
+Verdict IdentityKeeper::begin(const std::string& text, std::uint64_t fingerprint, base::TimePoint now)
+{
+    expire(now);
+    const std::optional<Identity> identity = parseIdentity(text);
+    if (!identity)
+        return CannotVouch {};
+    if (!isOwn(*identity))
+        return IssuedElsewhere { *identity };
+    Entry* entry = find(text);
+    if (!entry || entry->expiresAt <= now)
+        return CannotVouch {};
+    if (entry->fingerprint && *entry->fingerprint != fingerprint)
+        return OtherRequest {};
+    entry->fingerprint = fingerprint;
+    switch (entry->state) {
+    case State::Unused:
+        entry->state = State::Running;
+        return MayRun {};
+    case State::Running:
+        return InProgress {};
+    case State::Run:
+        return HasRun { entry->answer };
+    case State::Unknown:
+        return OutcomeUnknown {};
+    }
+    return CannotVouch {};
+}
+
+IdentityKeeper::Entry* IdentityKeeper::find(const std::string& text)
+{
+    const std::optional<Identity> identity = parseIdentity(text);
+    if (!identity)
+        return nullptr;
+    const auto found = entries_.find(identity->number);
+    if (found == entries_.end() || found->second.nonce != identity->nonce)
+        return nullptr;
+    return &found->second;
+}
+
+void IdentityKeeper::finishNotRun(const std::string& identity)
+{
+    if (Entry* entry = find(identity))
+        entry->state = State::Unused;
+}
+
+void IdentityKeeper::finishRun(const std::string& identity, StoredAnswer answer)
+{
+    Entry* entry = find(identity);
+    if (!entry)
+        return;
+    const bool isStored = answer.body.size() <= settings_.storedBodyBytes;
+    entry->state = isStored ? State::Run : State::Unknown;
+    if (isStored)
+        entry->answer = std::move(answer);
+}
+
+void IdentityKeeper::finishUnknown(const std::string& identity)
+{
+    if (Entry* entry = find(identity))
+        entry->state = State::Unknown;
+}
+
+} // namespace flamingousher::identity
--- /dev/null
+++ b/src/identity/tests/identitykeepertests.cpp
@@ -0,0 +1,119 @@
+#include "identity/identitykeeper.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <memory>
+#include <random>
+
+using namespace flamingousher;
+using namespace flamingousher::identity;
+using std::chrono::minutes;
+
+namespace {
+
+const base::TimePoint Start { std::chrono::hours(1) };
+constexpr std::uint64_t Request = 77;
+
+IdentityKeeper makeKeeper(const std::string& endpoint = "a", std::uint64_t boot = 1)
+{
+    return IdentityKeeper(endpoint, boot, {}, [random = std::mt19937_64(boot)]() mutable { return random(); });
+}
+
+} // namespace
+
+Test(IdentityKeeper, letsAnIdentityRunOnce)
+{
+    IdentityKeeper keeper = makeKeeper();
+    const std::string identity = *keeper.issue(Start);
+    cr_expect(keeper.begin(identity, Request, Start) == Verdict(MayRun {}));
+    cr_expect(keeper.begin(identity, Request, Start) == Verdict(InProgress {}));
+    keeper.finishRun(identity, { 201, "t", "body" });
+    cr_expect(keeper.begin(identity, Request, Start) == Verdict(HasRun { { 201, "t", "body" } }));
+}
+
+Test(IdentityKeeper, runsAgainOnlyAfterProofThatItWasNotRun)
+{
+    IdentityKeeper keeper = makeKeeper();
+    const std::string identity = *keeper.issue(Start);
+    keeper.begin(identity, Request, Start);
+    keeper.finishNotRun(identity);
+    cr_expect(keeper.begin(identity, Request, Start) == Verdict(MayRun {}));
+    keeper.finishUnknown(identity);
+    cr_expect(keeper.begin(identity, Request, Start) == Verdict(OutcomeUnknown {}));
+}
+
+Test(IdentityKeeper, vouchesForNoOtherProcessOrIncarnation)
+{
+    IdentityKeeper keeper = makeKeeper();
+    const std::string ofOther = *makeKeeper("b", 1).issue(Start);
+    const std::string ofEarlier = *makeKeeper("a", 2).issue(Start);
+    cr_expect(std::holds_alternative<IssuedElsewhere>(keeper.begin(ofOther, Request, Start)));
+    cr_expect(std::holds_alternative<IssuedElsewhere>(keeper.begin(ofEarlier, Request, Start)));
+}
+
+Test(IdentityKeeper, vouchesForNoExpiredForgedOrMalformedIdentity)
+{
+    IdentityKeeper keeper = makeKeeper();
+    const std::string identity = *keeper.issue(Start);
+    cr_expect(keeper.begin(identity, Request, Start + minutes(10)) == Verdict(CannotVouch {}));
+    cr_expect(keeper.begin("a~1~1~12345", Request, Start) == Verdict(CannotVouch {}));
+    cr_expect(keeper.begin("nonsense", Request, Start) == Verdict(CannotVouch {}));
+}
+
+Test(IdentityKeeper, refusesAnotherRequestUnderAUsedIdentity)
+{
+    IdentityKeeper keeper = makeKeeper();
+    const std::string identity = *keeper.issue(Start);
+    keeper.begin(identity, Request, Start);
+    cr_expect(keeper.begin(identity, Request + 1, Start) == Verdict(OtherRequest {}));
+}
+
+Test(IdentityKeeper, isBounded)
+{
+    IdentityKeeper keeper("a", 1, { .capacity = 10 }, [] { return 1; });
+    for (int count = 0; count < 10; ++count)
+        cr_expect(keeper.issue(Start).has_value());
+    cr_expect_not(keeper.issue(Start).has_value());
+    cr_expect(keeper.issue(Start + minutes(11)).has_value());
+}
+
+Test(IdentityKeeper, runsNothingTwiceInAnyOrderOfEvents)
+{
+    const bool holds = rc::check("each identity runs at most once, unless proved not run", [] {
+        auto keeper = std::make_unique<IdentityKeeper>(makeKeeper("a", 1));
+        std::vector<std::string> issued;
+        std::map<std::string, int> mayHaveRun;
+        std::map<std::string, bool> isRunning;
+        std::uint64_t boot = 1;
+        base::TimePoint now = Start;
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
+        for (int step : steps) {
+            now += std::chrono::seconds(step);
+            const std::string identity = issued.empty() ? "" : issued[static_cast<std::size_t>(step) % issued.size()];
+            if (step < 20 || issued.empty()) {
+                if (const auto fresh = keeper->issue(now))
+                    issued.push_back(*fresh);
+            } else if (step < 60) {
+                if (keeper->begin(identity, Request, now) == Verdict(MayRun {})) {
+                    ++mayHaveRun[identity];
+                    isRunning[identity] = true;
+                }
+            } else if (step < 70 && isRunning[identity]) {
+                --mayHaveRun[identity];
+                isRunning[identity] = false;
+                keeper->finishNotRun(identity);
+            } else if (step < 90 && isRunning[identity]) {
+                isRunning[identity] = false;
+                step % 2 ? keeper->finishRun(identity, { 200, "", "" }) : keeper->finishUnknown(identity);
+            } else if (step >= 97) {
+                // A restart: the process forgets everything and has another boot number.
+                keeper = std::make_unique<IdentityKeeper>(makeKeeper("a", ++boot));
+                isRunning.clear();
+            }
+            for (const auto& [name, runs] : mayHaveRun)
+                RC_ASSERT(runs <= 1);
+        }
+    });
+    cr_expect(holds);
+}
--- a/src/metrics/tests/registrytests.cpp
+++ b/src/metrics/tests/registrytests.cpp
@@ -6,7 +6,10 @@
 
 namespace {
 
-bool contains(const std::string& text, const std::string& part) { return text.find(part) != std::string::npos; }
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
 
 } // namespace
 
--- a/src/peers/framestream.cpp
+++ b/src/peers/framestream.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 
 #include <cstring>
+#include <mutex>
 
 namespace flamingousher::peers {
 
@@ -73,6 +74,7 @@
 tl::expected<void, Error> FrameStream::send(const wire::Content& content)
 {
     const std::string payload = wire::encode(content);
+    const std::unique_lock<boost::fibers::mutex> lock(sending_);
     const wire::Mac mac = wire::computeMac(connectionKey_, framePrefix(isInitiator_, sent_++), payload);
     std::string frame(HeaderBytes, '\0');
     for (std::size_t index = 0; index < LengthBytes; ++index)
--- a/src/peers/framestream.h
+++ b/src/peers/framestream.h
@@ -5,6 +5,7 @@
 #include "wire/types.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/fiber/mutex.hpp>
 
 #include <tl/expected.hpp>
 
@@ -29,7 +30,7 @@
 
 // Authenticated frames over one TCP connection between two processes. A frame is its length in four bytes,
 // least significant first, a message authentication code, and a FlatBuffer. Used by the fibers of one thread:
-// one may read while another writes.
+// one may read while others write.
 class FrameStream {
 public:
     FrameStream(boost::asio::ip::tcp::socket, const PeerIdentity&, PeerCounters&);
@@ -53,6 +54,7 @@
     PeerCounters& counters_;
     std::string peer_;
     std::string connectionKey_;
+    boost::fibers::mutex sending_;
     std::uint64_t sent_ { 0 };
     std::uint64_t received_ { 0 };
     bool isInitiator_ { false };
--- a/src/peers/peerserver.cpp
+++ b/src/peers/peerserver.cpp
@@ -79,6 +79,11 @@
     runtime::spawnFiber([this, session] { writeLoop(session); });
     for (;;) {
         auto content = session->stream->receive();
+        if (const auto* request = content ? std::get_if<wire::IdentityRequest>(&*content) : nullptr) {
+            static_cast<void>(
+                session->stream->send(wire::IdentityResult { request->id, hooks_.runIdentity(*request) }));
+            continue;
+        }
         auto* batch = content ? std::get_if<wire::Batch>(&*content) : nullptr;
         if (!batch)
             break;
--- a/src/peers/peerserver.h
+++ b/src/peers/peerserver.h
@@ -28,6 +28,9 @@
         std::function<void(wire::RemoteRequest, transport::SubCallback)> submit;
         std::function<void(transport::SubRequestId, const std::string& upstream)> cancel;
         std::function<std::optional<transport::UpstreamStatus>(const std::string& upstream)> status;
+
+        // Runs a request whose identity this thread has issued. May suspend the calling fiber.
+        std::function<transport::ServiceAnswer(const wire::IdentityRequest&)> runIdentity;
     };
 
     PeerServer(boost::asio::io_context&, const PeerIdentity&, PeerCounters&, Hooks);
--- a/src/peers/tests/peerlinktests.cpp
+++ b/src/peers/tests/peerlinktests.cpp
@@ -1,4 +1,5 @@
 #include "http/client.h"
+#include "peers/askissuer.h"
 #include "peers/fleettransport.h"
 #include "peers/peerlink.h"
 #include "peers/peerserver.h"
@@ -48,6 +49,9 @@
                   [this](transport::SubRequestId, const std::string&) { ++cancelled_; },
                   [](const std::string&) {
                       return transport::UpstreamStatus { false, 0, { { 42, 0, 1 } } };
+                  },
+                  [](const wire::IdentityRequest& request) {
+                      return transport::ServiceAnswer { 201, "", request.call.body };
                   } })
         , link_(std::make_shared<PeerLink>(io, endpoint_, caller, linkCounters_,
               PeerLink::Hooks {
@@ -235,6 +239,23 @@
     cr_expect_eq(statuses, 3u);
 }
 
+Test(AskIssuer, bringsTheAnswerOfTheIssuingProcess)
+{
+    runtime::FiberThread thread("test");
+    const auto [body, stateOfRestarted, stateOfLost] = thread.call([&] {
+        auto* pair = new Pair(thread.io(), 18114);
+        const wire::IdentityRequest request { 1, { "POST", "/r", "", "body", "i" }, "c", milliseconds(500) };
+        const auto answer = askIssuer(thread.io(), pair->endpoint_, 1, Identity, pair->linkCounters_, 7, request);
+        const auto restarted = askIssuer(thread.io(), pair->endpoint_, 2, Identity, pair->linkCounters_, 7, request);
+        const http::Endpoint nowhere(boost::asio::ip::make_address("127.0.0.1"), 1);
+        const auto lost = askIssuer(thread.io(), nowhere, 1, Identity, pair->linkCounters_, 7, request);
+        return std::tuple(answer ? answer->body : "", restarted.error().runState, lost.error().runState);
+    });
+    cr_expect_eq(body, "body");
+    cr_expect_eq(stateOfRestarted, base::RunState::Unknown);
+    cr_expect_eq(stateOfLost, base::RunState::Unknown);
+}
+
 Test(PeerServer, refusesStrangersAndNonsenseAndGoesOnServing)
 {
     runtime::FiberThread thread("test");
--- a/src/query/loadbudget.cpp
+++ b/src/query/loadbudget.cpp
@@ -18,7 +18,10 @@
 {
 }
 
-void LoadBudget::onFirstAttempt() { tokens_ = std::min(tokens_ + fraction_, fraction_ * SavedFirstAttempts); }
+void LoadBudget::onFirstAttempt()
+{
+    tokens_ = std::min(tokens_ + fraction_, fraction_ * SavedFirstAttempts);
+}
 
 void LoadBudget::onShed(base::TimePoint now)
 {
--- a/src/query/query.cpp
+++ b/src/query/query.cpp
@@ -1,6 +1,7 @@
 #include "query/query.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingousher::query {
 
@@ -14,6 +15,9 @@
     constexpr std::uint32_t MaximumAttemptsPerShard = 3;
     constexpr std::uint32_t MaximumRestarts = 2;
 
+    // Hedge delays to wait for the canary. A slow answer is no crash.
+    constexpr int CanaryPatience = 2;
+
     // True when the failed attempt put no work on its upstream, so that another is no extra load.
     bool costNothing(const Error& error)
     {
@@ -67,10 +71,33 @@
         return;
     }
     mayHaveRun_ = mayHaveRun_ || !sends.empty();
+    if (spec_.needsCanary && sends.size() > 1) {
+        const std::size_t canary = hooks_.nextId() % sends.size();
+        for (std::size_t index = 0; index < sends.size(); ++index) {
+            if (index != canary)
+                heldBack_.push_back(std::get<SendSubRequest>(sends[index]));
+        }
+        actions.push_back(sends[canary]);
+        canaryUntil_ = now + CanaryPatience * hooks_.hedgeDelay();
+        nextHedge_ = base::TimePoint::max();
+        return;
+    }
     actions.insert(actions.end(), sends.begin(), sends.end());
     finishIfSettled(now, actions);
 }
 
+void Query::releaseHeldBack(base::TimePoint now, std::vector<Action>& actions)
+{
+    if (heldBack_.empty())
+        return;
+    canaryUntil_ = base::TimePoint::max();
+    for (const SendSubRequest& request : std::exchange(heldBack_, {})) {
+        shards_[request.target.shard].sentAt = now;
+        actions.push_back(request);
+    }
+    nextHedge_ = spec_.allowsHedging ? now + hooks_.hedgeDelay() : base::TimePoint::max();
+}
+
 bool Query::sendToShard(std::uint32_t shard, bool isHedge, base::TimePoint now, std::vector<Action>& actions)
 {
     ShardState& state = shards_[shard];
@@ -120,6 +147,7 @@
     ++answeredShards_;
     if (state.inFlight > 0)
         cancelShard(request.shard, actions);
+    releaseHeldBack(now, actions);
     finishIfSettled(now, actions);
     return actions;
 }
@@ -137,9 +165,18 @@
     ShardState& state = shards_[shard];
     --state.inFlight;
     state.lastError = error;
+    if (error.code == ErrorCode::UpstreamCrashed && hooks_.isQuarantined()) {
+        finishWithError(
+            { ErrorCode::Quarantined, Step::Routing, error.peer, "the request crashes upstreams", provedRunState() },
+            actions);
+        return actions;
+    }
     if (state.inFlight > 0)
         return actions;
     retryShard(shard, now, actions);
+    // A canary that no replica answers says nothing against the request.
+    if (!isFinished_ && state.inFlight == 0)
+        releaseHeldBack(now, actions);
     if (!isFinished_)
         finishIfSettled(now, actions);
     return actions;
@@ -188,6 +225,8 @@
         finish(actions);
         return actions;
     }
+    if (now >= canaryUntil_)
+        releaseHeldBack(now, actions);
     if (now >= nextHedge_)
         hedgeSlowShards(now, actions);
     return actions;
@@ -227,7 +266,10 @@
     return actions;
 }
 
-base::TimePoint Query::nextTimer() const { return std::min(spec_.deadline, nextHedge_); }
+base::TimePoint Query::nextTimer() const
+{
+    return std::min(spec_.deadline, nextHedge_);
+}
 
 void Query::cancelShard(std::uint32_t shard, std::vector<Action>& actions)
 {
@@ -244,6 +286,10 @@
 
 void Query::cancelInFlight(std::vector<Action>& actions)
 {
+    // What was held back has not been sent.
+    for (const SendSubRequest& request : std::exchange(heldBack_, {}))
+        inFlight_.erase(request.id);
+    canaryUntil_ = base::TimePoint::max();
     for (const auto& [id, request] : inFlight_)
         actions.push_back(CancelSubRequest { id, request.upstream });
     inFlight_.clear();
@@ -256,7 +302,10 @@
         finish(actions);
 }
 
-double Query::leastCoverage() const { return spec_.allowsPartial ? spec_.leastCoverage : 1.0; }
+double Query::leastCoverage() const
+{
+    return spec_.allowsPartial ? spec_.leastCoverage : 1.0;
+}
 
 bool Query::canReachLeastCoverage() const
 {
--- a/src/query/query.h
+++ b/src/query/query.h
@@ -26,6 +26,9 @@
     std::function<bool()> takeHedge;
     std::function<bool()> takeRetry;
 
+    // The request has crashed too many upstreams to be sent to another.
+    std::function<bool()> isQuarantined;
+
     // A number that this process incarnation has not used before.
     std::function<SubRequestId()> nextId;
 };
@@ -72,6 +75,7 @@
     bool sendToShard(std::uint32_t shard, bool isHedge, base::TimePoint now, std::vector<Action>&);
     void retryShard(std::uint32_t shard, base::TimePoint now, std::vector<Action>&);
     bool restartOnNewerVersion(base::TimePoint now, std::vector<Action>&);
+    void releaseHeldBack(base::TimePoint now, std::vector<Action>&);
     void hedgeSlowShards(base::TimePoint now, std::vector<Action>&);
     void cancelInFlight(std::vector<Action>&);
     void cancelShard(std::uint32_t shard, std::vector<Action>&);
@@ -97,6 +101,8 @@
     std::uint64_t unmatched_ { 0 };
     bool mayHaveRun_ { false };
     bool isFinished_ { false };
+    std::vector<SendSubRequest> heldBack_; // until the canary has been answered
+    base::TimePoint canaryUntil_ { base::TimePoint::max() };
     base::TimePoint nextHedge_ { base::TimePoint::max() };
 };
 
--- a/src/query/replicachooser.cpp
+++ b/src/query/replicachooser.cpp
@@ -68,7 +68,10 @@
     return latency * (1 + known.inFlight) * penalty * hooks_.distance(upstream);
 }
 
-void ReplicaChooser::onSent(UpstreamId upstream, base::TimePoint) { ++stats(upstream).inFlight; }
+void ReplicaChooser::onSent(UpstreamId upstream, base::TimePoint)
+{
+    ++stats(upstream).inFlight;
+}
 
 void ReplicaChooser::onReleased(UpstreamId upstream)
 {
@@ -111,6 +114,9 @@
     known.consecutiveFailures = FailuresBeforeEjection - 1;
 }
 
-void ReplicaChooser::setDraining(UpstreamId upstream, bool isDraining) { stats(upstream).isDraining = isDraining; }
+void ReplicaChooser::setDraining(UpstreamId upstream, bool isDraining)
+{
+    stats(upstream).isDraining = isDraining;
+}
 
 } // namespace flamingousher::query
--- a/src/query/tests/querytests.cpp
+++ b/src/query/tests/querytests.cpp
@@ -61,6 +61,7 @@
     bool mayHedge_ { true };
     bool mayRetry_ { true };
     bool mayChoose_ { true };
+    bool isQuarantined_ { false };
     SubRequestId lastId_ { 0 };
     Query query_;
 
@@ -81,6 +82,7 @@
             [] { return milliseconds(10); },
             [this] { return mayHedge_; },
             [this] { return mayRetry_; },
+            [this] { return isQuarantined_; },
             [this] { return ++lastId_; },
         };
     }
@@ -245,6 +247,36 @@
     cr_expect(std::ranges::none_of(harness.outcome_->hits, [](const Hit& hit) { return hit.id == "old"; }));
 }
 
+Test(Query, asksOneShardFirstWhenTheRequestIsNotProved)
+{
+    Harness harness(75, { .needsCanary = true });
+    harness.start();
+    cr_assert_eq(harness.sent_.size(), 1u);
+    harness.answer(harness.sent_[0], "a");
+    cr_expect_eq(harness.sent_.size(), 75u);
+}
+
+Test(Query, doesNotWaitForASlowCanary)
+{
+    Harness harness(75, { .needsCanary = true });
+    harness.start();
+    harness.tick(Start + milliseconds(20));
+    cr_expect_geq(harness.sent_.size(), 75u);
+}
+
+Test(Query, stopsWhenItsCanaryCrashesUpstreams)
+{
+    Harness harness(75, { .needsCanary = true });
+    harness.start();
+    harness.fail(harness.sent_[0], ErrorCode::UpstreamCrashed);
+    cr_assert_eq(harness.sent_.size(), 2u, "another replica may show that the request is harmless");
+    harness.isQuarantined_ = true;
+    harness.fail(harness.sent_[1], ErrorCode::UpstreamCrashed);
+    cr_expect_eq(harness.sent_.size(), 2u);
+    cr_expect_eq(harness.outcome_->error->code, ErrorCode::Quarantined);
+    cr_expect(harness.cancelled_.empty(), "nothing else has been sent");
+}
+
 Test(Query, cancelsEverythingWhenTheCallerGoes)
 {
     Harness harness(5);
--- a/src/query/tests/snapshotcatalogtests.cpp
+++ b/src/query/tests/snapshotcatalogtests.cpp
@@ -4,7 +4,10 @@
 
 using namespace flamingousher::query;
 
-Test(SnapshotCatalog, plansNothingWhenNothingIsServed) { cr_expect_null(SnapshotCatalog().bestPlan().get()); }
+Test(SnapshotCatalog, plansNothingWhenNothingIsServed)
+{
+    cr_expect_null(SnapshotCatalog().bestPlan().get());
+}
 
 Test(SnapshotCatalog, prefersNewestVersionThatCoversAllShards)
 {
--- a/src/query/types.h
+++ b/src/query/types.h
@@ -52,6 +52,9 @@
     bool allowsHedging { true };
     std::size_t resultLimit { 10 }; // hits kept, over all shards
 
+    // Ask one shard first: no upstream has answered this request yet, and it might crash those that run it.
+    bool needsCanary { false };
+
     bool operator==(const QuerySpec&) const = default;
 };
 
--- a/src/runtime/fiberthread.cpp
+++ b/src/runtime/fiberthread.cpp
@@ -39,7 +39,10 @@
     pthread_setname_np(thread_.native_handle(), name.substr(0, 15).c_str());
 }
 
-FiberThread::~FiberThread() { stop(); }
+FiberThread::~FiberThread()
+{
+    stop();
+}
 
 void FiberThread::post(std::function<void()> function)
 {
--- a/src/runtime/internal/fiberscheduler.cpp
+++ b/src/runtime/internal/fiberscheduler.cpp
@@ -17,7 +17,10 @@
 {
 }
 
-void FiberScheduler::awakened(boost::fibers::context* context) noexcept { context->ready_link(ready_); }
+void FiberScheduler::awakened(boost::fibers::context* context) noexcept
+{
+    context->ready_link(ready_);
+}
 
 boost::fibers::context* FiberScheduler::pick_next() noexcept
 {
@@ -32,7 +35,10 @@
     return next;
 }
 
-bool FiberScheduler::has_ready_fibers() const noexcept { return !ready_.empty(); }
+bool FiberScheduler::has_ready_fibers() const noexcept
+{
+    return !ready_.empty();
+}
 
 void FiberScheduler::suspend_until(const std::chrono::steady_clock::time_point& until) noexcept
 {
--- a/src/tables/types.cpp
+++ b/src/tables/types.cpp
@@ -4,7 +4,10 @@
 
 namespace flamingousher::tables {
 
-std::string Upstream::endpoint() const { return address + ":" + std::to_string(port); }
+std::string Upstream::endpoint() const
+{
+    return address + ":" + std::to_string(port);
+}
 
 const Pool* Tables::pool(const std::string& name) const
 {
--- a/src/traffic/homeset.cpp
+++ b/src/traffic/homeset.cpp
@@ -47,7 +47,7 @@
                 continue;
             }
             link = std::make_shared<transport::UpstreamLink>(io_, id, upstream, settings, incarnation_,
-                transport::LinkHooks { hooks_.now, hooks_.onStatus, hooks_.onLost });
+                transport::LinkHooks { hooks_.now, hooks_.onStatus, hooks_.onCrash });
             link->start();
         }
     }
--- a/src/traffic/homeset.h
+++ b/src/traffic/homeset.h
@@ -21,7 +21,7 @@
     struct Hooks {
         std::function<base::TimePoint()> now;
         std::function<void(query::UpstreamId, const transport::UpstreamStatus&)> onStatus;
-        std::function<void(query::UpstreamId, const std::vector<std::uint64_t>& fingerprints)> onLost;
+        std::function<void(query::UpstreamId, std::uint64_t fingerprint)> onCrash;
 
         // The part of the upstream's slots and connections that this home may use.
         std::function<tables::Upstream(const tables::Upstream&)> limited;
--- a/src/traffic/internal/activequery.cpp
+++ b/src/traffic/internal/activequery.cpp
@@ -14,10 +14,14 @@
     // A hedge must leave its loser time to lose: never earlier than this.
     constexpr base::Duration LeastHedgeDelay = std::chrono::milliseconds(1);
 
+    // Shorter than the hold-off of a home that takes over, so that nothing of the previous home still runs then.
+    constexpr base::Duration LongestSubRequest = std::chrono::seconds(2);
+
     bool isEvidenceAgainstUpstream(const Error& error)
     {
         switch (error.code) {
         case ErrorCode::Unreachable:
+        case ErrorCode::UpstreamCrashed:
         case ErrorCode::ConnectionLost:
         case ErrorCode::ProtocolViolation:
             return true;
@@ -31,12 +35,13 @@
 } // namespace
 
 ActiveQuery::ActiveQuery(TrafficContext& context, PoolState& pool, CallerRequest& request, const query::QuerySpec& spec,
-    const std::string& text)
+    const std::string& text, std::uint64_t fingerprint)
     : context_(context)
     , pool_(pool)
     , request_(&request)
     , spec_(spec)
     , text_(text)
+    , fingerprint_(fingerprint)
     , query_(spec, makeHooks())
     , timer_(context.io)
 {
@@ -52,6 +57,7 @@
         [this] { return std::max(LeastHedgeDelay, pool_.latency.quantile(HedgeQuantile)); },
         [this] { return pool_.hedgeBudget.take(context_.now()); },
         [this] { return pool_.retryBudget.take(context_.now()); },
+        [this] { return context_.quarantine.isQuarantined(fingerprint_, context_.now()); },
         [this] { return context_.nextId(); },
     };
 }
@@ -121,7 +127,7 @@
     }
     request_->note(action.isHedge ? EventKind::Hedged : EventKind::Sent, action.target.shard, action.upstream);
     transport::SubRequest subRequest { action.id, action.upstream, request_->route().rank, request_->caller(),
-        spec_.deadline, request_->fingerprint(),
+        std::min(spec_.deadline, now + LongestSubRequest), fingerprint_,
         transport::SearchCall { action.target, text_, static_cast<std::uint32_t>(spec_.resultLimit) } };
     context_.dispatcher.submit(
         std::move(subRequest), [self = shared_from_this(), id = action.id](transport::SubResult result) {
@@ -167,6 +173,7 @@
     context_.chooser.onAnswered(sent.upstream, now - sent.at, now);
     pool_.latency.observe(now - sent.at);
     request_->note(EventKind::Answered, sent.shard, sent.upstream);
+    context_.quarantine.onAnswered(fingerprint_);
     apply(query_.onAnswer(id, std::get<query::SubAnswer>(std::move(*result.value)), now));
 }
 
@@ -181,6 +188,8 @@
         pool_.hedgeBudget.onShed(context_.now());
         pool_.retryBudget.onShed(context_.now());
     }
+    if (error.code == ErrorCode::UpstreamCrashed)
+        context_.quarantine.onCrash(fingerprint_, context_.directory.at(sent.upstream).name, context_.now());
     if (error.code == ErrorCode::VersionNotServed) {
         const auto plan = pool_.catalog.bestPlan();
         if (plan)
--- a/src/traffic/internal/activequery.h
+++ b/src/traffic/internal/activequery.h
@@ -17,7 +17,9 @@
 // Carries out the actions of one query: sends its sub-requests, feeds their results back, keeps its timer.
 class ActiveQuery : public std::enable_shared_from_this<ActiveQuery> {
 public:
-    ActiveQuery(TrafficContext&, PoolState&, CallerRequest&, const query::QuerySpec&, const std::string& text);
+    // fingerprint: of the request on the index version it is asked of.
+    ActiveQuery(TrafficContext&, PoolState&, CallerRequest&, const query::QuerySpec&, const std::string& text,
+        std::uint64_t fingerprint);
 
     // Runs the query to its end in the calling fiber.
     query::QueryOutcome run();
@@ -49,6 +51,7 @@
     CallerRequest* request_; // null once the query has ended
     query::QuerySpec spec_;
     std::string text_;
+    std::uint64_t fingerprint_;
     query::Query query_;
     boost::asio::steady_timer timer_;
     runtime::Signal finished_;
--- a/src/traffic/internal/callerrequest.cpp
+++ b/src/traffic/internal/callerrequest.cpp
@@ -27,7 +27,10 @@
         return found == request.end() ? fallback : std::string(found->value());
     }
 
-    std::string addressOf(const std::string& peer) { return peer.substr(0, peer.rfind(':')); }
+    std::string addressOf(const std::string& peer)
+    {
+        return peer.substr(0, peer.rfind(':'));
+    }
 
     base::Duration timeAllowed(const http::Request& request, const tables::Route& route)
     {
@@ -75,11 +78,11 @@
 } // namespace
 
 CallerRequest::CallerRequest(
-    TrafficContext& context, const http::Request& request, const http::Exchange& exchange, const tables::Route& route)
+    TrafficContext& context, const http::Request& request, const std::string& peer, const tables::Route& route)
     : context_(context)
     , route_(route)
     , id_(context.incarnation + "-" + std::to_string(context.nextId()))
-    , caller_(fieldOr(request, CallerField, addressOf(exchange.peer)))
+    , caller_(fieldOr(request, CallerField, addressOf(peer)))
     , receivedAt_(context.now())
     , deadline_(receivedAt_ + timeAllowed(request, route))
     , fingerprint_(fingerprintOf(request))
@@ -87,7 +90,10 @@
     note(EventKind::Received);
 }
 
-void CallerRequest::note(EventKind kind) { timeline_.push_back({ kind, context_.now() }); }
+void CallerRequest::note(EventKind kind)
+{
+    timeline_.push_back({ kind, context_.now() });
+}
 
 void CallerRequest::note(EventKind kind, std::uint32_t shard, query::UpstreamId upstream, const char* detail)
 {
@@ -99,6 +105,13 @@
     timeline_.push_back({ kind, context_.now(), shard, upstream, toString(error) });
 }
 
+http::Response CallerRequest::refuse(const http::Request& request, const base::Error& error, base::Duration retryAfter)
+{
+    note(EventKind::Refused);
+    finish(std::string(base::toString(error.code)));
+    return makeErrorResponse(request, id_, error, retryAfter);
+}
+
 void CallerRequest::finish(const std::string& outcome)
 {
     const base::Duration elapsed = context_.now() - receivedAt_;
--- a/src/traffic/internal/callerrequest.h
+++ b/src/traffic/internal/callerrequest.h
@@ -11,10 +11,17 @@
 
 namespace flamingousher::traffic {
 
+// Time kept for writing the answer, so that it arrives within the target.
+inline constexpr base::Duration ReplyMargin = std::chrono::milliseconds(2);
+
+// Pauses between the attempts of one request.
+inline constexpr base::Duration FirstBackoff = std::chrono::milliseconds(10);
+inline constexpr base::Duration LongestBackoff = std::chrono::seconds(1);
+
 // One caller's request while it is worked on: its limits and its timeline.
 class CallerRequest {
 public:
-    CallerRequest(TrafficContext&, const http::Request&, const http::Exchange&, const tables::Route&);
+    CallerRequest(TrafficContext&, const http::Request&, const std::string& peer, const tables::Route&);
 
     const std::string& id() const { return id_; }
     const std::string& caller() const { return caller_; }
@@ -27,6 +34,9 @@
     void note(accounts::EventKind, std::uint32_t shard, query::UpstreamId, const char* detail = "");
     void note(accounts::EventKind, std::uint32_t shard, query::UpstreamId, const base::Error&);
 
+    // Ends the request with an error and makes the response for it.
+    http::Response refuse(const http::Request&, const base::Error&, base::Duration retryAfter = {});
+
     // Counts the outcome and keeps the timeline when the answer was slow, partial or refused.
     void finish(const std::string& outcome);
 
--- /dev/null
+++ b/src/traffic/internal/servicehandler.cpp
@@ -0,0 +1,186 @@
+#include "traffic/internal/servicehandler.h"
+
+#include "runtime/signal.h"
+
+#include <boost/json.hpp>
+
+namespace flamingousher::traffic {
+
+using accounts::EventKind;
+using base::Error;
+using base::ErrorCode;
+using base::RunState;
+using base::Step;
+
+namespace {
+
+    constexpr std::string_view IdentityField = "Flamingousher-Identity";
+    constexpr std::string_view NextIdentityField = "Flamingousher-Next-Identity";
+
+    Error identityError(ErrorCode code, const char* detail, RunState state)
+    {
+        return { code, Step::Identity, {}, detail, state };
+    }
+
+    transport::ServiceCall makeCall(const http::Request& request, const CallerRequest& callerRequest)
+    {
+        const auto identity = request.find(std::string(IdentityField));
+        const bool isNeeded = !callerRequest.route().isIdempotent && identity != request.end();
+        return { std::string(request.method_string()), std::string(request.target()),
+            std::string(request[boost::beast::http::field::content_type]), request.body(),
+            isNeeded ? std::string(identity->value()) : std::string() };
+    }
+
+} // namespace
+
+ServiceHandler::ServiceHandler(TrafficContext& context)
+    : context_(context)
+{
+}
+
+http::Response ServiceHandler::issueIdentity(const http::Request& request)
+{
+    const std::optional<std::string> identity = context_.identities.issue(context_.now());
+    if (!identity) {
+        return makeErrorResponse(
+            request, {}, identityError(ErrorCode::Overloaded, "too many identities are outstanding", RunState::NotRun));
+    }
+    return http::makeJsonResponse(request, http::Status::created,
+        boost::json::serialize(boost::json::object { { "identity", *identity } }) + "\n");
+}
+
+http::Response ServiceHandler::handle(const http::Request& request, CallerRequest& callerRequest, PoolState& pool)
+{
+    const transport::ServiceCall call = makeCall(request, callerRequest);
+    if (callerRequest.route().isIdempotent)
+        return respond(request, callerRequest, run(callerRequest, pool, call));
+    if (call.identity.empty()) {
+        http::Response response = callerRequest.refuse(request,
+            identityError(
+                ErrorCode::IdentityRequired, "send the request with the identity in the header", RunState::NotRun));
+        if (const auto identity = context_.identities.issue(context_.now()))
+            response.set(std::string(NextIdentityField), *identity);
+        return response;
+    }
+    return respond(request, callerRequest, runWithIdentity(callerRequest, pool, call));
+}
+
+http::Response ServiceHandler::respond(const http::Request& request, CallerRequest& callerRequest, Answer answer)
+{
+    if (!answer)
+        return callerRequest.refuse(request, answer.error());
+    callerRequest.finish("complete");
+    return http::makeResponse(request, http::Status(answer->status), answer->contentType, std::move(answer->body));
+}
+
+transport::ServiceAnswer ServiceHandler::runForOther(
+    const http::Request& request, CallerRequest& callerRequest, PoolState& pool)
+{
+    // Only this process may answer here: a request is not passed on twice.
+    const transport::ServiceCall call = makeCall(request, callerRequest);
+    const http::Response response = respond(request, callerRequest, runIssuedHere(callerRequest, pool, call));
+    return { response.result_int(), std::string(response[boost::beast::http::field::content_type]), response.body() };
+}
+
+ServiceHandler::Answer ServiceHandler::runWithIdentity(
+    CallerRequest& request, PoolState& pool, const transport::ServiceCall& call)
+{
+    const std::optional<identity::Identity> parsed = identity::parseIdentity(call.identity);
+    const bool isElsewhere = parsed && !context_.identities.isOwn(*parsed);
+    if (!isElsewhere)
+        return runIssuedHere(request, pool, call);
+    return context_.dispatcher.askIssuer(*parsed, call, request.caller(), request.deadline() - context_.now());
+}
+
+ServiceHandler::Answer ServiceHandler::runIssuedHere(
+    CallerRequest& request, PoolState& pool, const transport::ServiceCall& call)
+{
+    const identity::Verdict verdict = context_.identities.begin(call.identity, request.fingerprint(), context_.now());
+    if (const auto* run = std::get_if<identity::HasRun>(&verdict))
+        return transport::ServiceAnswer { run->answer.status, run->answer.contentType, run->answer.body };
+    if (std::holds_alternative<identity::InProgress>(verdict)) {
+        return tl::unexpected(identityError(
+            ErrorCode::IdentityUnverifiable, "the request is being run; ask again later", RunState::Unknown));
+    }
+    if (std::holds_alternative<identity::OtherRequest>(verdict)) {
+        return tl::unexpected(
+            identityError(ErrorCode::BadRequest, "the identity was used for another request", RunState::NotRun));
+    }
+    if (!std::holds_alternative<identity::MayRun>(verdict)) {
+        return tl::unexpected(identityError(ErrorCode::IdentityUnverifiable,
+            "it is not known whether the request was run; look it up in the service", RunState::Unknown));
+    }
+    Answer answer = run(request, pool, call);
+    if (answer)
+        context_.identities.finishRun(call.identity, { answer->status, answer->contentType, answer->body });
+    else if (answer.error().runState == RunState::NotRun)
+        context_.identities.finishNotRun(call.identity);
+    else
+        context_.identities.finishUnknown(call.identity);
+    return answer;
+}
+
+ServiceHandler::Answer ServiceHandler::run(CallerRequest& request, PoolState& pool, const transport::ServiceCall& call)
+{
+    if (context_.quarantine.isQuarantined(request.fingerprint(), context_.now())) {
+        return tl::unexpected(
+            Error { ErrorCode::Quarantined, Step::Admission, {}, "the request crashes upstreams", RunState::NotRun });
+    }
+    Answer last = tl::unexpected(Error { ErrorCode::Unreachable, Step::Routing, {}, "no upstream may receive work" });
+    base::Duration backoff = FirstBackoff;
+    RunState proved = RunState::NotRun;
+    while (context_.now() < request.deadline() - ReplyMargin) {
+        const auto upstream = context_.chooser.choose(pool.upstreams, context_.now());
+        if (upstream) {
+            last = runOnce(request, call, *upstream);
+            if (last)
+                return last;
+            if (last.error().runState != RunState::NotRun)
+                proved = RunState::Unknown;
+            // Sent again only when it is idempotent, or proved not to have run.
+            const bool mayRepeat = request.route().isIdempotent || proved == RunState::NotRun;
+            if (!mayRepeat || context_.quarantine.isQuarantined(request.fingerprint(), context_.now()))
+                break;
+        }
+        context_.sleepFor(backoff);
+        backoff = std::min(2 * backoff, LongestBackoff);
+    }
+    last.error().runState = proved;
+    return last;
+}
+
+ServiceHandler::Answer ServiceHandler::runOnce(
+    CallerRequest& request, const transport::ServiceCall& call, query::UpstreamId upstream)
+{
+    const base::TimePoint sentAt = context_.now();
+    transport::SubRequest subRequest { context_.nextId(), upstream, request.route().rank, request.caller(),
+        request.deadline() - ReplyMargin, request.fingerprint(), call };
+    auto signal = std::make_shared<runtime::Signal>();
+    auto result = std::make_shared<transport::SubResult>();
+    context_.chooser.onSent(upstream, sentAt);
+    request.note(EventKind::Sent, 0, upstream);
+    context_.dispatcher.submit(std::move(subRequest), [signal, result](transport::SubResult value) {
+        *result = std::move(value);
+        signal->notify();
+    });
+    signal->wait();
+    if (result->value) {
+        context_.chooser.onAnswered(upstream, context_.now() - sentAt, context_.now());
+        context_.quarantine.onAnswered(request.fingerprint());
+        request.note(EventKind::Answered, 0, upstream);
+        return std::get<transport::ServiceAnswer>(std::move(*result->value));
+    }
+    const Error& error = result->value.error();
+    request.note(EventKind::Failed, 0, upstream, error);
+    if (error.code == ErrorCode::UpstreamCrashed)
+        context_.quarantine.onCrash(request.fingerprint(), context_.directory.at(upstream).name, context_.now());
+    const bool isUpstreamsFault = error.code == ErrorCode::Unreachable || error.code == ErrorCode::ConnectionLost
+        || error.code == ErrorCode::UpstreamCrashed;
+    if (isUpstreamsFault)
+        context_.chooser.onFailed(upstream, context_.now());
+    else
+        context_.chooser.onReleased(upstream);
+    return tl::unexpected(error);
+}
+
+} // namespace flamingousher::traffic
--- a/src/traffic/internal/trafficstate.cpp
+++ b/src/traffic/internal/trafficstate.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet/homeduties.h"
 #include "http/client.h"
+#include "peers/askissuer.h"
 
 #include <boost/json.hpp>
 #include <xxhash.h>
@@ -28,6 +29,14 @@
         return threadIndex == 0 ? text : text + ("t" + std::to_string(threadIndex));
     }
 
+    // Where a traffic thread of a node listens for other nodes.
+    std::string threadEndpoint(const fleet::NodeInfo& node, std::uint32_t thread)
+    {
+        auto endpoint = http::parseEndpoint(node.id.endpoint).value_or(http::Endpoint {});
+        endpoint.port(static_cast<std::uint16_t>(endpoint.port() + 1 + thread));
+        return http::toString(endpoint);
+    }
+
     Error routingError(const std::string& upstream, const char* detail)
     {
         return { ErrorCode::Unreachable, Step::Routing, upstream, detail, RunState::NotRun };
@@ -40,11 +49,13 @@
 
 } // namespace
 
-TrafficThread::State::State(
-    boost::asio::io_context& io, const peers::PeerIdentity& peerIdentity, std::uint32_t threadIndex)
+TrafficThread::State::State(boost::asio::io_context& io, const peers::PeerIdentity& peerIdentity,
+    std::uint32_t threadIndex, CrashListener crashListener)
     : identity(peerIdentity)
     , index(threadIndex)
-    , context(io, toText(peerIdentity.self.id.boot, threadIndex), std::random_device {}())
+    , context(io, toText(peerIdentity.self.id.boot, threadIndex), threadEndpoint(peerIdentity.self, threadIndex),
+          peerIdentity.self.id.boot, std::random_device {}())
+    , onCrash(std::move(crashListener))
     , handler(context)
     , homes(io, context.directory, context.incarnation, makeHomeHooks())
     , peerServer(io, identity, peerCounters, makePeerServerHooks())
@@ -56,9 +67,37 @@
             dispatch(std::move(request), std::move(callback));
         },
         [this](query::SubRequestId id, query::UpstreamId upstream) { cancel(id, upstream); },
+        [this](const identity::Identity& issued, const transport::ServiceCall& call, const std::string& caller,
+            base::Duration remaining) { return askIssuer(issued, call, caller, remaining); },
     };
 }
 
+tl::expected<transport::ServiceAnswer, Error> TrafficThread::State::askIssuer(const identity::Identity& issued,
+    const transport::ServiceCall& call, const std::string& caller, base::Duration remaining)
+{
+    const auto endpoint = http::parseEndpoint(issued.endpoint);
+    if (!endpoint || !isKnownEndpoint(*endpoint)) {
+        return tl::unexpected(Error { ErrorCode::IdentityUnverifiable, Step::Identity, issued.endpoint,
+            "no node of the fleet has issued this identity", RunState::Unknown });
+    }
+    return peers::askIssuer(context.io, *endpoint, issued.boot, identity, peerCounters, context.random(),
+        { context.nextId(), call, caller, remaining });
+}
+
+// Requests are passed on to nodes of the fleet only, whatever address an identity names.
+bool TrafficThread::State::isKnownEndpoint(const http::Endpoint& endpoint) const
+{
+    if (!view)
+        return false;
+    return std::ranges::any_of(view->nodes, [&](const fleet::NodeInfo& node) {
+        for (std::uint32_t thread = 0; thread < node.trafficThreads; ++thread) {
+            if (threadEndpoint(node, thread) == http::toString(endpoint))
+                return true;
+        }
+        return false;
+    });
+}
+
 HomeSet::Hooks TrafficThread::State::makeHomeHooks()
 {
     return {
@@ -67,7 +106,9 @@
             noteStatus(id, status);
             peerServer.publishStatus({ context.directory.at(id).name, status });
         },
-        [](query::UpstreamId, const std::vector<std::uint64_t>&) {},
+        [this](query::UpstreamId id, std::uint64_t fingerprint) {
+            onCrash({ fingerprint, context.directory.at(id).name, identity.self.id.boot });
+        },
         [this](const tables::Upstream& upstream) {
             tables::Upstream limited = upstream;
             limited.slots = fleet::shareOfLimit(upstream.slots, view->seen, view->listed);
@@ -105,6 +146,7 @@
             const transport::UpstreamStatus* status = known == idsByName.end() ? nullptr : homes.status(known->second);
             return status ? std::optional(*status) : std::nullopt;
         },
+        [this](const wire::IdentityRequest& request) { return handler.handleForOther(request); },
     };
 }
 
@@ -120,7 +162,7 @@
 void TrafficThread::State::noteStatus(query::UpstreamId id, const transport::UpstreamStatus& status)
 {
     const tables::Upstream& upstream = context.directory.at(id);
-    PoolState* pool = context.pool(upstream.pool);
+    const std::shared_ptr<PoolState> pool = context.pool(upstream.pool);
     if (!pool)
         return;
     const bool isDraining
@@ -150,7 +192,10 @@
     idsByName.clear();
     std::erase_if(context.pools, [&](const auto& entry) { return !tables.pool(entry.first); });
     for (const tables::Pool& pool : tables.pools) {
-        PoolState& state = context.pools[pool.name];
+        std::shared_ptr<PoolState>& entry = context.pools[pool.name];
+        if (!entry)
+            entry = std::make_shared<PoolState>();
+        PoolState& state = *entry;
         const std::vector<query::UpstreamId> before = std::exchange(state.upstreams, {});
         state.pool = pool;
         for (const tables::Upstream& upstream : pool.upstreams) {
@@ -182,7 +227,7 @@
     for (const auto& [name, id] : idsByName) {
         if (isLeaving(context.directory.at(id))) {
             context.chooser.setDraining(id, true);
-            if (PoolState* pool = context.pool(context.directory.at(id).pool))
+            if (const auto pool = context.pool(context.directory.at(id).pool))
                 pool->catalog.setUsable(id, false);
         }
     }
@@ -235,13 +280,10 @@
 
 std::shared_ptr<peers::PeerLink> TrafficThread::State::linkTo(const std::string& upstream, const fleet::NodeInfo& home)
 {
-    auto endpoint = http::parseEndpoint(home.id.endpoint);
-    if (!endpoint)
-        return nullptr;
-    endpoint->port(static_cast<std::uint16_t>(endpoint->port() + 1 + threadOf(upstream, home)));
-    std::shared_ptr<peers::PeerLink>& link = links[http::toString(*endpoint)];
+    const std::string name = threadEndpoint(home, threadOf(upstream, home));
+    std::shared_ptr<peers::PeerLink>& link = links[name];
     if (!link) {
-        link = std::make_shared<peers::PeerLink>(context.io, *endpoint, identity, peerCounters,
+        link = std::make_shared<peers::PeerLink>(context.io, *http::parseEndpoint(name), identity, peerCounters,
             peers::PeerLink::Hooks { context.now, [this] { return context.random(); },
                 [this](const wire::RemoteStatus& remote) {
                     const auto known = idsByName.find(remote.upstream);
@@ -285,9 +327,9 @@
         return false;
     const bool mayHaveGaps = context.now() - tablesSince >= ReadyWithGaps;
     return std::ranges::all_of(context.pools, [&](const auto& entry) {
-        if (entry.second.pool.kind == tables::PoolKind::Service)
+        if (entry.second->pool.kind == tables::PoolKind::Service)
             return true;
-        const auto plan = entry.second.catalog.bestPlan();
+        const auto plan = entry.second->catalog.bestPlan();
         return plan && (mayHaveGaps || coversAllShards(*plan));
     });
 }
@@ -312,17 +354,17 @@
     }
     boost::json::array pools;
     for (auto& [name, pool] : context.pools) {
-        const auto plan = pool.catalog.bestPlan();
+        const auto plan = pool->catalog.bestPlan();
         boost::json::object gates;
         for (base::Rank rank : base::AllRanks) {
-            gates[base::toString(rank)] = boost::json::object { { "limit", pool.gate(rank).limit() },
-                { "in_progress", pool.gate(rank).inProgress() }, { "waiting", pool.gate(rank).waiting() } };
+            gates[base::toString(rank)] = boost::json::object { { "limit", pool->gate(rank).limit() },
+                { "in_progress", pool->gate(rank).inProgress() }, { "waiting", pool->gate(rank).waiting() } };
         }
         pools.push_back(boost::json::object {
             { "pool", name },
             { "snapshot", plan ? plan->version : 0 },
             { "shards", plan ? plan->replicas.size() : 0 },
-            { "hedge_after_ms", base::toMilliseconds(pool.latency.quantile(0.95)) },
+            { "hedge_after_ms", base::toMilliseconds(pool->latency.quantile(0.95)) },
             { "gates", std::move(gates) },
         });
     }
@@ -337,6 +379,9 @@
         { "pools", std::move(pools) },
         { "upstreams", std::move(upstreams) },
         { "peers", std::move(peerLinks) },
+        { "identities_outstanding", context.identities.outstanding() },
+        { "crash_evidence", context.quarantine.evidenceCount() },
+        { "quarantined", context.quarantine.quarantinedCount() },
     });
 }
 
@@ -362,6 +407,9 @@
     gauge("sub_requests_cancelled", "Sub-requests cancelled.", sum.cancelled);
     gauge("sub_requests_refused", "Sub-requests refused before they ran.", sum.refusedNotRun);
     gauge("silent_connections_dropped", "Connections to upstreams dropped as silent.", sum.silentDropped);
+    gauge("identities_outstanding", "Identities issued that have not expired.", context.identities.outstanding());
+    gauge("quarantined_requests", "Requests not sent because they crash upstreams.",
+        context.quarantine.quarantinedCount());
     gauge("caller_connections", "Callers' connections open.", server.counters().open);
     gauge("malformed_requests", "Callers' requests refused as malformed or oversized.",
         server.counters().malformedRequests + server.counters().oversizedRequests);
--- a/src/traffic/internal/trafficstate.h
+++ b/src/traffic/internal/trafficstate.h
@@ -17,7 +17,7 @@
 
 // Everything that one traffic thread owns. Used on that thread only.
 struct TrafficThread::State {
-    State(boost::asio::io_context&, const peers::PeerIdentity&, std::uint32_t threadIndex);
+    State(boost::asio::io_context&, const peers::PeerIdentity&, std::uint32_t threadIndex, CrashListener);
 
     void sweep();
     void applyTables(const std::shared_ptr<const tables::Tables>&);
@@ -30,6 +30,10 @@
     void dispatch(transport::SubRequest, transport::SubCallback);
     void cancel(query::SubRequestId, query::UpstreamId);
 
+    tl::expected<transport::ServiceAnswer, base::Error> askIssuer(
+        const identity::Identity&, const transport::ServiceCall&, const std::string& caller, base::Duration remaining);
+    bool isKnownEndpoint(const http::Endpoint&) const;
+
     HomeSet::Hooks makeHomeHooks();
     peers::PeerServer::Hooks makePeerServerHooks();
     void applyPools(const tables::Tables&);
@@ -44,6 +48,7 @@
     const peers::PeerIdentity& identity;
     std::uint32_t index;
     TrafficContext context;
+    CrashListener onCrash;
     std::shared_ptr<const HomeView> view;
     std::map<std::string, query::UpstreamId> idsByName; // of the tables in force
     base::TimePoint tablesSince;
--- a/src/traffic/poolstate.cpp
+++ b/src/traffic/poolstate.cpp
@@ -10,7 +10,10 @@
 
     constexpr base::Duration InitialHedgeDelay = std::chrono::milliseconds(20);
 
-    admission::Gate makeGate() { return admission::Gate(admission::GateSettings {}); }
+    admission::Gate makeGate()
+    {
+        return admission::Gate(admission::GateSettings {});
+    }
 
 } // namespace
 
--- a/src/traffic/trafficcontext.cpp
+++ b/src/traffic/trafficcontext.cpp
@@ -1,5 +1,9 @@
 #include "traffic/trafficcontext.h"
 
+#include "runtime/usefiber.h"
+
+#include <boost/asio/steady_timer.hpp>
+
 namespace flamingousher::traffic {
 
 namespace {
@@ -8,21 +12,30 @@
 
 } // namespace
 
-TrafficContext::TrafficContext(
-    boost::asio::io_context& ioContext, const std::string& incarnationText, std::uint64_t seed)
+TrafficContext::TrafficContext(boost::asio::io_context& ioContext, const std::string& incarnationText,
+    const std::string& identityEndpoint, std::uint64_t boot, std::uint64_t seed)
     : io(ioContext)
     , incarnation(incarnationText)
     , now([] { return std::chrono::steady_clock::now(); })
     , random(seed)
     , chooser({ [this](std::size_t bound) { return random() % bound; }, [](query::UpstreamId) { return 1.0; } })
+    , identities(identityEndpoint, boot, {}, [this] { return random(); })
+    , quarantine({})
     , records(KeptRecords)
 {
 }
 
-PoolState* TrafficContext::pool(const std::string& name)
+std::shared_ptr<PoolState> TrafficContext::pool(const std::string& name) const
 {
     const auto found = pools.find(name);
-    return found == pools.end() ? nullptr : &found->second;
+    return found == pools.end() ? nullptr : found->second;
+}
+
+void TrafficContext::sleepFor(base::Duration duration)
+{
+    boost::asio::steady_timer timer(io, duration);
+    boost::system::error_code ignored;
+    timer.async_wait(runtime::useFiber[ignored]);
 }
 
 } // namespace flamingousher::traffic
--- a/src/traffic/trafficcontext.h
+++ b/src/traffic/trafficcontext.h
@@ -2,7 +2,9 @@
 
 #include "accounts/recordstore.h"
 #include "base/types.h"
+#include "identity/identitykeeper.h"
 #include "metrics/registry.h"
+#include "quarantine/quarantine.h"
 #include "query/replicachooser.h"
 #include "tables/types.h"
 #include "traffic/poolstate.h"
@@ -23,11 +25,18 @@
 struct Dispatcher {
     std::function<void(transport::SubRequest, transport::SubCallback)> submit;
     std::function<void(query::SubRequestId, query::UpstreamId)> cancel;
+
+    // Passes a request on to the process that issued its identity.
+    std::function<tl::expected<transport::ServiceAnswer, base::Error>(
+        const identity::Identity&, const transport::ServiceCall&, const std::string& caller, base::Duration remaining)>
+        askIssuer;
 };
 
 // What the request handlers of one traffic thread share. Used on that thread only.
 struct TrafficContext {
-    TrafficContext(boost::asio::io_context& ioContext, const std::string& incarnationText, std::uint64_t seed);
+    // identityEndpoint, boot: where and as which incarnation this thread vouches for identities.
+    TrafficContext(boost::asio::io_context& ioContext, const std::string& incarnationText,
+        const std::string& identityEndpoint, std::uint64_t boot, std::uint64_t seed);
 
     boost::asio::io_context& io;
     std::string incarnation; // text that no other process incarnation uses
@@ -36,7 +45,9 @@
     std::shared_ptr<const tables::Tables> tables; // null until a configuration is known
     transport::UpstreamDirectory directory;
     query::ReplicaChooser chooser;
-    std::map<std::string, PoolState> pools;
+    std::map<std::string, std::shared_ptr<PoolState>> pools;
+    identity::IdentityKeeper identities;
+    quarantine::Quarantine quarantine;
     accounts::RecordStore records;
     metrics::Registry metrics;
     Dispatcher dispatcher;
@@ -45,7 +56,11 @@
     // A number this incarnation has not used before.
     std::uint64_t nextId() { return ++lastId; }
 
-    PoolState* pool(const std::string& name);
+    // Null when the tables have no such pool. Work in progress keeps a pool that an edit has removed.
+    std::shared_ptr<PoolState> pool(const std::string& name) const;
+
+    // Suspends the calling fiber.
+    void sleepFor(base::Duration);
 };
 
 } // namespace flamingousher::traffic
--- a/src/traffic/trafficthread.cpp
+++ b/src/traffic/trafficthread.cpp
@@ -12,13 +12,13 @@
 
 } // namespace
 
-TrafficThread::TrafficThread(
-    const settings::DaemonSettings& settings, const peers::PeerIdentity& identity, std::uint32_t index)
+TrafficThread::TrafficThread(const settings::DaemonSettings& settings, const peers::PeerIdentity& identity,
+    std::uint32_t index, CrashListener onCrash)
     : thread_("traffic-" + std::to_string(index))
     , settings_(settings)
     , identity_(identity)
     , index_(index)
-    , state_(thread_.call([&] { return std::make_unique<State>(thread_.io(), identity_, index); }))
+    , state_(thread_.call([&] { return std::make_unique<State>(thread_.io(), identity_, index, std::move(onCrash)); }))
 {
     thread_.post([this] { runSweep(); });
 }
@@ -76,6 +76,13 @@
     return thread_.call([this] { return state_->homes.closingUpstreams(); });
 }
 
+void TrafficThread::noteCrash(const fleet::CrashEvidence& evidence)
+{
+    thread_.post([this, evidence] {
+        state_->context.quarantine.onCrash(evidence.fingerprint, evidence.upstream, state_->context.now());
+    });
+}
+
 bool TrafficThread::isReady()
 {
     return thread_.call([this] { return state_->isReady(); });
--- a/src/traffic/trafficthread.h
+++ b/src/traffic/trafficthread.h
@@ -19,7 +19,10 @@
 // thread is the home. The functions are callable from the control thread.
 class TrafficThread {
 public:
-    TrafficThread(const settings::DaemonSettings&, const peers::PeerIdentity&, std::uint32_t index);
+    // Called on the traffic thread when an upstream has crashed under a request.
+    using CrashListener = std::function<void(const fleet::CrashEvidence&)>;
+
+    TrafficThread(const settings::DaemonSettings&, const peers::PeerIdentity&, std::uint32_t index, CrashListener);
     ~TrafficThread();
 
     // Begins to listen for callers and for other nodes.
@@ -34,6 +37,9 @@
     // The present answer of the same kind.
     std::set<std::string> closingUpstreams();
 
+    // Evidence of a crash seen by another node or thread.
+    void noteCrash(const fleet::CrashEvidence&);
+
     // True when the index versions of every search pool are known.
     bool isReady();
 
--- a/src/transport/upstreamlink.cpp
+++ b/src/transport/upstreamlink.cpp
@@ -35,6 +35,8 @@
     constexpr base::Duration OverdueGrace = std::chrono::milliseconds(250);
     constexpr base::Duration LongSilence = std::chrono::seconds(1);
 
+    constexpr std::chrono::milliseconds CrashCheckTimeout { 50 };
+
     constexpr std::uint64_t MaximumAnswerBytes = 8ULL * 1024 * 1024;
 
 } // namespace
@@ -216,6 +218,8 @@
     const SubRequest request = pending.request;
     tl::expected<SubValue, Error> value = exchange(*connection, request);
     connection->job.reset();
+    if (!value && value.error().code == ErrorCode::ConnectionLost && hasCrashed())
+        value.error().code = ErrorCode::UpstreamCrashed;
     finish(id, std::move(value));
 }
 
@@ -247,6 +251,14 @@
     return decodeSubResponse(subRequest, peer, std::move(response));
 }
 
+// A lost connection alone is no crash: the upstream must refuse a new one.
+bool UpstreamLink::hasCrashed()
+{
+    const auto status
+        = http::fetch(io_, endpoint_, http::makeRequest(verb::get, std::string(StatusPath)), CrashCheckTimeout);
+    return !status && status.error().step == Step::Connect;
+}
+
 void UpstreamLink::finish(SubRequestId id, tl::expected<SubValue, Error> value)
 {
     const auto found = pending_.find(id);
@@ -270,12 +282,12 @@
         isSaidDraining_ = true;
         setDraining(true);
     }
-    if (value.error().code != ErrorCode::ConnectionLost)
+    const bool isCrash = value.error().code == ErrorCode::UpstreamCrashed;
+    if (!isCrash && value.error().code != ErrorCode::ConnectionLost)
         return;
     ++counters_.lost;
-    // Only a connection that broke while the answer was still wanted speaks against the request.
-    if (pending.callback)
-        hooks_.onLost(id_, { pending.request.fingerprint });
+    if (isCrash)
+        hooks_.onCrash(id_, pending.request.fingerprint);
 }
 
 void UpstreamLink::cancel(SubRequestId id)
@@ -457,6 +469,9 @@
     return response;
 }
 
-std::string UpstreamLink::wireId(SubRequestId id) const { return incarnation_ + "-" + std::to_string(id); }
+std::string UpstreamLink::wireId(SubRequestId id) const
+{
+    return incarnation_ + "-" + std::to_string(id);
+}
 
 } // namespace flamingousher::transport
--- a/src/transport/upstreamlink.h
+++ b/src/transport/upstreamlink.h
@@ -22,8 +22,8 @@
     std::function<base::TimePoint()> now;
     std::function<void(UpstreamId, const UpstreamStatus&)> onStatus;
 
-    // The upstream was lost while it ran these sub-requests.
-    std::function<void(UpstreamId, const std::vector<std::uint64_t>& fingerprints)> onLost;
+    // The upstream was lost while it ran a sub-request, and refuses connections since.
+    std::function<void(UpstreamId, std::uint64_t fingerprint)> onCrash;
 };
 
 struct LinkCounters {
@@ -91,6 +91,7 @@
     void execute(const std::shared_ptr<Connection>&, SubRequestId);
     tl::expected<SubValue, base::Error> exchange(Connection&, const SubRequest&);
     void finish(SubRequestId, tl::expected<SubValue, base::Error>);
+    bool hasCrashed();
     void refuse(SubRequestId, base::ErrorCode, base::Step, const std::string& detail);
     void deliver(Pending&, tl::expected<SubValue, base::Error>);
     void noteOutcome(const Pending&, const tl::expected<SubValue, base::Error>&);
--- a/src/upstreams/internal/rankqueue.cpp
+++ b/src/upstreams/internal/rankqueue.cpp
@@ -66,6 +66,9 @@
     return expired;
 }
 
-std::vector<QueuedWork> RankQueue::takeAll() { return takeExpired(base::TimePoint::max()); }
+std::vector<QueuedWork> RankQueue::takeAll()
+{
+    return takeExpired(base::TimePoint::max());
+}
 
 } // namespace flamingousher::upstreams
--- a/src/upstreams/upstreamqueue.cpp
+++ b/src/upstreams/upstreamqueue.cpp
@@ -18,7 +18,10 @@
     // While a more urgent rank has arrived within this period, other ranks leave one slot free for it.
     constexpr base::Duration SlotReservePeriod = std::chrono::seconds(5);
 
-    double toSeconds(base::Duration duration) { return std::chrono::duration<double>(duration).count(); }
+    double toSeconds(base::Duration duration)
+    {
+        return std::chrono::duration<double>(duration).count();
+    }
 
 } // namespace
 
@@ -165,7 +168,10 @@
     return expired;
 }
 
-std::vector<QueuedWork> UpstreamQueue::takeAllWaiting() { return takeExpired(base::TimePoint::max()); }
+std::vector<QueuedWork> UpstreamQueue::takeAllWaiting()
+{
+    return takeExpired(base::TimePoint::max());
+}
 
 base::Duration UpstreamQueue::estimatedWait(Rank rank) const
 {
@@ -188,12 +194,24 @@
     return std::min(byRank, byFloor);
 }
 
-void UpstreamQueue::setSettings(const QueueSettings& settings) { settings_ = settings; }
+void UpstreamQueue::setSettings(const QueueSettings& settings)
+{
+    settings_ = settings;
+}
 
-void UpstreamQueue::setDraining(bool isDraining) { isDraining_ = isDraining; }
+void UpstreamQueue::setDraining(bool isDraining)
+{
+    isDraining_ = isDraining;
+}
 
-std::size_t UpstreamQueue::waitingCount() const { return waitingRank_.size(); }
+std::size_t UpstreamQueue::waitingCount() const
+{
+    return waitingRank_.size();
+}
 
-std::size_t UpstreamQueue::waitingCount(Rank rank) const { return waiting_[indexOf(rank)].size(); }
+std::size_t UpstreamQueue::waitingCount(Rank rank) const
+{
+    return waiting_[indexOf(rank)].size();
+}
 
 } // namespace flamingousher::upstreams
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -18,7 +18,10 @@
     constexpr std::size_t MaximumTables = 1'000'000;
     constexpr std::size_t MaximumDepth = 16;
 
-    std::int64_t toMicroseconds(base::Duration duration) { return duration_cast<microseconds>(duration).count(); }
+    std::int64_t toMicroseconds(base::Duration duration)
+    {
+        return duration_cast<microseconds>(duration).count();
+    }
 
     std::unique_ptr<fb::NodeInfoT> pack(const fleet::NodeInfo& node)
     {
@@ -135,8 +138,14 @@
         body.Set(std::move(packed));
     }
 
-    void set(fb::BodyUnion& body, const fleet::ClaimMessage& claim) { setUpstreams<fb::ClaimT>(body, claim); }
-    void set(fb::BodyUnion& body, const fleet::ReleaseMessage& release) { setUpstreams<fb::ReleaseT>(body, release); }
+    void set(fb::BodyUnion& body, const fleet::ClaimMessage& claim)
+    {
+        setUpstreams<fb::ClaimT>(body, claim);
+    }
+    void set(fb::BodyUnion& body, const fleet::ReleaseMessage& release)
+    {
+        setUpstreams<fb::ReleaseT>(body, release);
+    }
 
     void set(fb::BodyUnion& body, const fleet::TablesRequest& request)
     {
--- a/src/wire/mac.cpp
+++ b/src/wire/mac.cpp
@@ -23,6 +23,9 @@
     return mac;
 }
 
-bool isEqual(const Mac& left, const Mac& right) { return CRYPTO_memcmp(left.data(), right.data(), MacBytes) == 0; }
+bool isEqual(const Mac& left, const Mac& right)
+{
+    return CRYPTO_memcmp(left.data(), right.data(), MacBytes) == 0;
+}
 
 } // namespace flamingousher::wire
