Check histories of concurrent runs with faults

Cause: what must always hold was tested rule by rule, not in runs of several VMs. Change: a run of the decision cores of 3 to 5 VMs against small fakes in virtual time with seeded straggling, delay, duplication, crashes of VMs and upstreams, pauses, partitions, drains and index switches, and a checker of its history.

--- /dev/null
+++ b/src/scenario/internal/fakesearcher.cpp
@@ -0,0 +1,150 @@
+#include "scenario/internal/fakesearcher.h"
+
+#include <algorithm>
+
+namespace flamingousher::scenario {
+
+using base::Error;
+using base::ErrorCode;
+using base::RunState;
+using base::Step;
+
+namespace {
+
+    // A new version is served beside the two before it.
+    constexpr std::size_t KeptVersions = 3;
+
+    constexpr base::Duration ReservationTime = std::chrono::milliseconds(3);
+    constexpr base::Duration RefusalTime = std::chrono::microseconds(300);
+
+    bool contains(const std::vector<std::uint32_t>& numbers, std::uint32_t number)
+    {
+        return std::ranges::find(numbers, number) != numbers.end();
+    }
+
+} // namespace
+
+FakeSearcher::FakeSearcher(EventQueue& events, std::mt19937_64& random, const Settings& settings, History& history,
+    std::uint32_t number, std::uint32_t shard)
+    : events_(events)
+    , random_(random)
+    , settings_(settings)
+    , history_(history)
+    , number_(number)
+    , shard_(shard)
+    , isSilent_(contains(settings.silentUpstreams, number))
+    , isLost_(contains(settings.lostUpstreams, number))
+{
+}
+
+transport::SubResult FakeSearcher::refuse(ErrorCode code, RunState state) const
+{
+    return { tl::unexpected(Error { code, Step::Receive, "u" + std::to_string(number_), "", state }) };
+}
+
+base::Duration FakeSearcher::drawServiceTime()
+{
+    std::lognormal_distribution<double> spread(0, 0.3);
+    const double seconds = std::chrono::duration<double>(settings_.serviceTime).count() * spread(random_);
+    base::Duration time = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+    if (std::uniform_real_distribution<double>(0, 1)(random_) < settings_.faults.straggleChance)
+        time += settings_.faults.straggle;
+    return time;
+}
+
+void FakeSearcher::start(const transport::SubRequest& request, std::uint64_t queryNumber, bool isExtra, Reply reply)
+{
+    const auto& call = std::get<transport::SearchCall>(request.call);
+    if (isLost_ || downUntil_ > events_.now()) {
+        events_.after(
+            RefusalTime, [reply, result = refuse(ErrorCode::Unreachable, RunState::NotRun)] { reply(result); });
+        return;
+    }
+    if (!versions_.contains(call.target.version) && settings_.defect != Defect::MixesVersions) {
+        events_.after(
+            RefusalTime, [reply, result = refuse(ErrorCode::VersionNotServed, RunState::NotRun)] { reply(result); });
+        return;
+    }
+    const query::IndexVersion version
+        = versions_.contains(call.target.version) ? call.target.version : *versions_.rbegin();
+    history_.executions.push_back(
+        { queryNumber, number_, { version, shard_, settings_.shards }, isExtra, events_.now() });
+    running_[request.id] = reply;
+    history_.slotsExceeded += running_.size() > settings_.slots ? 1 : 0;
+    if (isSilent_) {
+        // Holds the slot until the caller gives up on the connection.
+        events_.at(request.deadline + std::chrono::milliseconds(250), [this, id = request.id] { running_.erase(id); });
+        return;
+    }
+    const query::Hit hit { std::to_string(queryNumber) + "/" + std::to_string(shard_) + "/" + std::to_string(version),
+        "", 1 };
+    // With the defect, the answer claims to be what was asked for.
+    query::SubAnswer answer { call.target, { hit } };
+    const base::Duration time = drawServiceTime();
+    const bool isTooLate = events_.now() + time > request.deadline;
+    const base::Duration until = isTooLate ? request.deadline - events_.now() : time;
+    events_.after(until, [this, id = request.id, answer, isTooLate, generation = generation_] {
+        const auto found = running_.find(id);
+        if (found == running_.end() || generation != generation_)
+            return;
+        const Reply callback = found->second;
+        running_.erase(found);
+        callback(isTooLate ? refuse(ErrorCode::DeadlineExceeded, RunState::Unknown) : transport::SubResult { answer });
+    });
+}
+
+void FakeSearcher::cancel(transport::SubRequestId id, std::uint32_t)
+{
+    const auto found = running_.find(id);
+    if (found == running_.end() || isSilent_)
+        return;
+    const Reply reply = found->second;
+    running_.erase(found);
+    reply(refuse(ErrorCode::Cancelled, RunState::Unknown));
+}
+
+void FakeSearcher::reserve(const std::string& identity, Reply reply)
+{
+    if (isLost_ || downUntil_ > events_.now()) {
+        events_.after(
+            RefusalTime, [reply, result = refuse(ErrorCode::Unreachable, RunState::NotRun)] { reply(result); });
+        return;
+    }
+    history_.reservationRuns.push_back({ identity, events_.now() });
+    events_.after(ReservationTime, [this, reply, generation = generation_] {
+        if (generation == generation_)
+            reply({ transport::ServiceAnswer { 201, "", "done" } });
+        else
+            reply(refuse(ErrorCode::UpstreamCrashed, RunState::Unknown));
+    });
+}
+
+void FakeSearcher::publishVersion(query::IndexVersion version)
+{
+    versions_.insert(version);
+    while (versions_.size() > KeptVersions)
+        versions_.erase(versions_.begin());
+}
+
+void FakeSearcher::crash(base::Duration downFor)
+{
+    ++generation_;
+    downUntil_ = events_.now() + downFor;
+    for (const auto& [id, reply] : std::exchange(running_, {}))
+        reply(refuse(ErrorCode::UpstreamCrashed, RunState::Unknown));
+}
+
+void FakeSearcher::drain()
+{
+    isDraining_ = true;
+}
+
+transport::UpstreamStatus FakeSearcher::status() const
+{
+    transport::UpstreamStatus status { isDraining_, 0, {} };
+    for (query::IndexVersion version : versions_)
+        status.served.push_back({ version, shard_, settings_.shards });
+    return status;
+}
+
+} // namespace flamingousher::scenario
--- /dev/null
+++ b/src/scenario/internal/vm.cpp
@@ -0,0 +1,461 @@
+#include "scenario/internal/vm.h"
+
+#include <algorithm>
+
+namespace flamingousher::scenario {
+
+using base::Error;
+using base::ErrorCode;
+using base::RunState;
+using base::Step;
+
+namespace {
+
+    constexpr double HedgeFraction = 0.03;
+    constexpr double RetryFraction = 0.02;
+    constexpr double HedgeQuantile = 0.95;
+    constexpr base::Duration InitialHedgeDelay = std::chrono::milliseconds(20);
+    constexpr double UnlimitedQueries = 1e9;
+    constexpr std::size_t QueueCapacity = 4'096;
+    constexpr base::Duration LongestSubRequest = std::chrono::seconds(2);
+    constexpr base::Duration ReservationTimeout = std::chrono::milliseconds(500);
+    constexpr std::uint64_t ReservationFingerprint = 1;
+
+    std::vector<admission::Gate> makeGates(const Policy& policy)
+    {
+        admission::GateSettings settings;
+        if (!policy.hasGate)
+            settings.initialLimit = settings.leastLimit = settings.mostLimit = UnlimitedQueries;
+        if (policy.fixedLimit)
+            settings.initialLimit = settings.leastLimit = settings.mostLimit = *policy.fixedLimit;
+        return { base::RankCount, admission::Gate(settings) };
+    }
+
+    std::string endpointOf(std::uint32_t vm)
+    {
+        return std::to_string(vm);
+    }
+
+} // namespace
+
+Vm::Vm(World& world, std::uint32_t number, std::uint64_t boot)
+    : world_(world)
+    , number_(number)
+    , boot_(boot)
+    , gates_(makeGates(world.settings.policy))
+    , latency_(InitialHedgeDelay)
+    , hedgeBudget_(HedgeFraction)
+    , retryBudget_(RetryFraction)
+    , chooser_({ [this](std::size_t bound) { return world_.random() % bound; }, [](query::UpstreamId) { return 1.0; } })
+    , identities_(endpointOf(number), boot, {}, [this] { return world_.random(); })
+{
+    for (std::uint32_t upstream = 0; upstream < world_.searchers.size(); ++upstream)
+        noteStatus(upstream, world_.searchers[upstream]->status());
+}
+
+admission::Gate& Vm::gate(base::Rank rank)
+{
+    // A fixed limit is shared by all ranks: one queue in order of arrival.
+    return gates_[world_.settings.policy.fixedLimit ? 0 : base::indexOf(rank)];
+}
+
+void Vm::noteStatus(std::uint32_t upstream, const transport::UpstreamStatus& status)
+{
+    const bool isDraining = status.isDraining && world_.settings.defect != Defect::IgnoresDraining;
+    catalog_.setServed(upstream, status.served);
+    catalog_.setUsable(upstream, !isDraining);
+    chooser_.setDraining(upstream, isDraining);
+    const auto queue = queues_.find(upstream);
+    if (queue != queues_.end())
+        queue->second.setDraining(isDraining);
+}
+
+void Vm::startQuery(std::uint64_t number, const Load& load)
+{
+    const base::TimePoint now = world_.events.now();
+    ActiveQuery& active = queries_[number];
+    active.load = load;
+    active.deadline = now + load.target;
+    const admission::Decision decision = gate(load.rank).request(number, load.caller, active.deadline, now);
+    if (decision.verdict == admission::Verdict::Admitted)
+        run(number);
+    else if (decision.verdict == admission::Verdict::Refused)
+        refuse(number, decision.retryAfter);
+}
+
+void Vm::refuse(std::uint64_t number, base::Duration)
+{
+    query::QueryOutcome outcome;
+    outcome.error = Error { ErrorCode::Overloaded, Step::Admission, {}, "", RunState::NotRun };
+    world_.history.answers.push_back({ number, world_.events.now(), std::move(outcome) });
+    queries_.erase(number);
+}
+
+query::QueryHooks Vm::makeHooks()
+{
+    return {
+        [this] { return catalog_.bestPlan(); },
+        [this](const std::vector<query::UpstreamId>& candidates) -> std::optional<query::UpstreamId> {
+            if (world_.settings.policy.choosesByLatency)
+                return chooser_.choose(candidates, world_.events.now());
+            return candidates[world_.random() % candidates.size()];
+        },
+        [this] { return std::max<base::Duration>(std::chrono::milliseconds(1), latency_.quantile(HedgeQuantile)); },
+        [this] { return world_.settings.policy.hasHedging && hedgeBudget_.take(world_.events.now()); },
+        [this] { return retryBudget_.take(world_.events.now()); },
+        [] { return false; },
+        [this] { return ++lastId_; },
+    };
+}
+
+void Vm::run(std::uint64_t number)
+{
+    ActiveQuery& active = queries_.at(number);
+    active.isAdmitted = true;
+    active.admittedAt = world_.events.now();
+    const query::QuerySpec spec { active.deadline, true, active.load.leastCoverage, true, world_.settings.shards,
+        false };
+    active.query = std::make_unique<query::Query>(spec, makeHooks());
+    apply(number, active.query->start(world_.events.now()));
+}
+
+void Vm::apply(std::uint64_t number, const std::vector<query::Action>& actions)
+{
+    for (const query::Action& action : actions) {
+        const auto found = queries_.find(number);
+        if (found == queries_.end())
+            return;
+        ActiveQuery& active = found->second;
+        if (const auto* toSend = std::get_if<query::SendSubRequest>(&action)) {
+            send(number, active, *toSend);
+        } else if (const auto* toCancel = std::get_if<query::CancelSubRequest>(&action)) {
+            const auto sent = active.sent.find(toCancel->id);
+            if (sent == active.sent.end())
+                continue;
+            chooser_.onCancelled(toCancel->upstream, world_.events.now() - sent->second.at);
+            active.sent.erase(sent);
+            if (const auto home = world_.homeOf(toCancel->upstream)) {
+                world_.send(number_, *home, [this, home, id = toCancel->id, upstream = toCancel->upstream] {
+                    world_.vm(*home)->acceptCancel(number_, boot_, id, upstream);
+                });
+            }
+        } else {
+            finish(number, active, std::get<query::FinishQuery>(action).outcome);
+        }
+    }
+}
+
+void Vm::send(std::uint64_t number, ActiveQuery& active, const query::SendSubRequest& action)
+{
+    const base::TimePoint now = world_.events.now();
+    active.sent.emplace(action.id, Sent { action.upstream, now });
+    chooser_.onSent(action.upstream, now);
+    if (!action.isHedge) {
+        hedgeBudget_.onFirstAttempt();
+        retryBudget_.onFirstAttempt();
+    }
+    const bool isExtra = std::ranges::find(active.askedShards, action.target.shard) != active.askedShards.end();
+    active.askedShards.push_back(action.target.shard);
+    const bool hasRanks = world_.settings.policy.hasRanks;
+    transport::SubRequest request { action.id, action.upstream, hasRanks ? active.load.rank : base::Rank::Normal,
+        hasRanks ? active.load.caller : "all", std::min(active.deadline, now + LongestSubRequest), 0,
+        transport::SearchCall { action.target, "", world_.settings.shards } };
+    const auto home = world_.homeOf(action.upstream);
+    const auto fail = [this, number, id = action.id](RunState state) {
+        acceptResult(number, id, { tl::unexpected(Error { ErrorCode::Unreachable, Step::Peer, "", "", state }) });
+    };
+    if (!home) {
+        world_.events.after({}, [fail] { fail(RunState::NotRun); });
+        return;
+    }
+    world_.send(number_, *home, [this, home, number, isExtra, request] {
+        world_.vm(*home)->acceptSubRequest(number_, boot_, number, isExtra, request);
+    });
+}
+
+void Vm::acceptResult(std::uint64_t number, transport::SubRequestId id, transport::SubResult result)
+{
+    auto found = queries_.find(number);
+    if (world_.settings.defect == Defect::CrossesAnswers && !queries_.empty() && result.value) {
+        // Without the match by identifier, an answer goes to whichever query waits for the shard.
+        found = queries_.begin();
+        if (found->second.query && !found->second.sent.empty()) {
+            const auto& answer = std::get<query::SubAnswer>(*result.value);
+            apply(found->first,
+                found->second.query->onAnswer(found->second.sent.begin()->first, answer, world_.events.now()));
+            return;
+        }
+        found = queries_.find(number);
+    }
+    if (found == queries_.end())
+        return;
+    ActiveQuery& active = found->second;
+    const auto sent = active.sent.find(id);
+    if (sent == active.sent.end())
+        return;
+    const Sent record = sent->second;
+    active.sent.erase(sent);
+    active.longestQueued = std::max(active.longestQueued, result.queued);
+    const base::TimePoint now = world_.events.now();
+    if (!result.value) {
+        learnFromError(active, record, result.value.error());
+        apply(number, active.query->onFailure(id, result.value.error(), now));
+        return;
+    }
+    chooser_.onAnswered(record.upstream, now - record.at, now);
+    latency_.observe(now - record.at);
+    auto& answer = std::get<query::SubAnswer>(*result.value);
+    if (world_.settings.defect == Defect::OverstatesCoverage && world_.random() % 20 == 0)
+        answer.hits.clear();
+    apply(number, active.query->onAnswer(id, std::move(answer), now));
+}
+
+void Vm::learnFromError(ActiveQuery& active, const Sent& sent, const Error& error)
+{
+    const base::TimePoint now = world_.events.now();
+    const bool isUpstreamsFault = error.code == ErrorCode::UpstreamCrashed || error.code == ErrorCode::Unreachable
+        || (error.code == ErrorCode::DeadlineExceeded && error.step == Step::Receive);
+    if (isUpstreamsFault)
+        chooser_.onFailed(sent.upstream, now);
+    else
+        chooser_.onReleased(sent.upstream);
+    if (error.code == ErrorCode::Overloaded) {
+        active.longestQueued = active.load.target;
+        hedgeBudget_.onShed(now);
+        retryBudget_.onShed(now);
+    }
+}
+
+void Vm::finish(std::uint64_t number, ActiveQuery& active, query::QueryOutcome outcome)
+{
+    const base::TimePoint now = world_.events.now();
+    // A straggler that is cancelled at the deadline waited at least that long.
+    gate(active.load.rank).release(number, active.longestQueued, now - active.admittedAt, now);
+    if (world_.settings.defect == Defect::SaysNotRunFalsely && outcome.error)
+        outcome.error->runState = RunState::NotRun;
+    world_.history.answers.push_back({ number, now, std::move(outcome) });
+    queries_.erase(number);
+    moveWaiting();
+}
+
+void Vm::moveWaiting()
+{
+    for (admission::Gate& each : gates_) {
+        if (each.waiting() == 0)
+            continue;
+        const admission::Gate::Moved moved = each.takeMoved(world_.events.now());
+        for (admission::TicketId ticket : moved.expired)
+            refuse(ticket, {});
+        for (admission::TicketId ticket : moved.admitted)
+            run(ticket);
+    }
+}
+
+void Vm::sweep()
+{
+    const base::TimePoint now = world_.events.now();
+    std::vector<std::uint64_t> due;
+    for (const auto& [number, active] : queries_) {
+        if (active.query && active.query->nextTimer() <= now)
+            due.push_back(number);
+    }
+    for (std::uint64_t number : due) {
+        const auto found = queries_.find(number);
+        if (found != queries_.end())
+            apply(number, found->second.query->onTimer(now));
+    }
+    moveWaiting();
+    for (auto& [upstream, queue] : queues_) {
+        for (const upstreams::QueuedWork& work : queue.takeExpired(now)) {
+            const auto found = homeWork_.find(work.id);
+            replyToSender(found->second,
+                { tl::unexpected(Error { ErrorCode::DeadlineExceeded, Step::Queue, "", "", RunState::NotRun }) });
+            homeWork_.erase(found);
+        }
+        pump(upstream);
+    }
+}
+
+upstreams::UpstreamQueue& Vm::queueOf(std::uint32_t upstream)
+{
+    const auto found = queues_.find(upstream);
+    if (found != queues_.end())
+        return found->second;
+    const Settings& settings = world_.settings;
+    const std::uint32_t slots = settings.slots + (settings.defect == Defect::IgnoresSlots ? 2 : 0);
+    const auto floors = settings.policy.hasRanks ? settings.floors : std::array<double, base::RankCount> {};
+    return queues_.emplace(upstream, upstreams::QueueSettings { slots, floors, QueueCapacity }).first->second;
+}
+
+void Vm::acceptSubRequest(
+    std::uint32_t from, std::uint64_t fromBoot, std::uint64_t number, bool isExtra, transport::SubRequest request)
+{
+    const std::uint32_t upstream = request.upstream;
+    const auto fail = [&](ErrorCode code, Step step) {
+        const HomeWork work { from, fromBoot, number, isExtra, request, world_.events.now() };
+        replyToSender(work, { tl::unexpected(Error { code, step, "", "", RunState::NotRun }) });
+    };
+    if (world_.homeOf(upstream) != number_) {
+        fail(ErrorCode::Unreachable, Step::Routing);
+        return;
+    }
+    const upstreams::SubRequestId localId = ++lastId_;
+    const base::TimePoint now = world_.events.now();
+    switch (queueOf(upstream).offer({ localId, request.rank, request.caller, request.deadline }, now)) {
+    case upstreams::OfferVerdict::Queued:
+        break;
+    case upstreams::OfferVerdict::Draining:
+        fail(ErrorCode::Draining, Step::Queue);
+        return;
+    default:
+        fail(ErrorCode::Overloaded, Step::Queue);
+        return;
+    }
+    localIds_[{ fromBoot, request.id }] = localId;
+    homeWork_[localId] = { from, fromBoot, number, isExtra, std::move(request), now };
+    pump(upstream);
+}
+
+void Vm::pump(std::uint32_t upstream)
+{
+    if (world_.homeOf(upstream) != number_)
+        return;
+    for (const upstreams::QueuedWork& started : queueOf(upstream).startReady(world_.events.now())) {
+        const HomeWork work = homeWork_.at(started.id);
+        const base::Duration queued = world_.events.now() - work.offeredAt;
+        transport::SubRequest request = work.request;
+        request.id = started.id;
+        const std::uint64_t boot = boot_;
+        world_.searchers[upstream]->start(request, work.query, work.isExtra,
+            [this, boot, upstream, id = started.id, queued](transport::SubResult result) {
+                // The VM may have crashed and another incarnation taken its place.
+                Vm* self = world_.vm(number_);
+                if (!self || self->boot() != boot)
+                    return;
+                queueOf(upstream).finish(id, world_.events.now());
+                const auto found = homeWork_.find(id);
+                if (found != homeWork_.end()) {
+                    result.queued = queued;
+                    replyToSender(found->second, std::move(result));
+                    localIds_.erase({ found->second.fromBoot, found->second.request.id });
+                    homeWork_.erase(found);
+                }
+                pump(upstream);
+            });
+    }
+}
+
+void Vm::replyToSender(const HomeWork& work, transport::SubResult result)
+{
+    const std::uint32_t copies
+        = std::uniform_real_distribution<double>(0, 1)(world_.random) < world_.settings.faults.duplicateChance ? 2 : 1;
+    for (std::uint32_t copy = 0; copy < copies; ++copy) {
+        world_.send(number_, work.from,
+            [this, from = work.from, boot = work.fromBoot, query = work.query, id = work.request.id, result] {
+                Vm* sender = world_.vm(from);
+                if (sender->boot() == boot)
+                    sender->acceptResult(query, id, result);
+            });
+    }
+}
+
+void Vm::acceptCancel(std::uint32_t from, std::uint64_t fromBoot, transport::SubRequestId id, std::uint32_t upstream)
+{
+    static_cast<void>(from);
+    const auto local = localIds_.find({ fromBoot, id });
+    if (local == localIds_.end())
+        return;
+    const upstreams::SubRequestId localId = local->second;
+    localIds_.erase(local);
+    if (queueOf(upstream).cancel(localId) == upstreams::CancelVerdict::RemovedBeforeStart) {
+        homeWork_.erase(localId);
+        return;
+    }
+    world_.searchers[upstream]->cancel(localId, number_);
+}
+
+void Vm::startReservation(std::uint32_t attempts)
+{
+    if (const auto identity = identities_.issue(world_.events.now()))
+        sendReservation(*identity, attempts);
+}
+
+// Sends a reservation as a caller would, which sends it again through any VM when it is told nothing certain.
+void Vm::sendReservation(const std::string& identity, std::uint32_t attempts)
+{
+    auto isAnswered = std::make_shared<bool>(false);
+    const auto answer = [this, identity, isAnswered, attempts](RunState state) {
+        if (std::exchange(*isAnswered, true))
+            return;
+        noteReservationAnswer(identity, state);
+        if (state == RunState::Run || attempts <= 1)
+            return;
+        world_.events.after(std::chrono::milliseconds(20), [this, identity, attempts] {
+            const std::uint32_t other = static_cast<std::uint32_t>(world_.random() % world_.settings.vms);
+            if (Vm* vm = world_.vm(other))
+                vm->sendReservation(identity, attempts - 1);
+        });
+    };
+    world_.events.after(ReservationTimeout, [answer] { answer(RunState::Unknown); });
+    const auto parsed = identity::parseIdentity(identity);
+    const bool mayRunHere = identities_.isOwn(*parsed) || world_.settings.defect == Defect::RunsForeignIdentities;
+    if (mayRunHere) {
+        runReservation(identity, answer);
+        return;
+    }
+    const auto issuer = static_cast<std::uint32_t>(std::stoul(parsed->endpoint));
+    world_.send(number_, issuer, [this, issuer, boot = parsed->boot, identity, answer] {
+        world_.vm(issuer)->acceptReservation(number_, boot, identity, answer);
+    });
+}
+
+void Vm::acceptReservation(
+    std::uint32_t from, std::uint64_t wantedBoot, const std::string& identity, std::function<void(RunState)> reply)
+{
+    const auto sendBack
+        = [this, from, reply](RunState state) { world_.send(number_, from, [reply, state] { reply(state); }); };
+    if (wantedBoot != boot_) {
+        sendBack(RunState::Unknown);
+        return;
+    }
+    runReservation(identity, sendBack);
+}
+
+void Vm::runReservation(const std::string& identity, std::function<void(RunState)> reply)
+{
+    if (world_.settings.defect != Defect::RunsForeignIdentities) {
+        const identity::Verdict verdict = identities_.begin(identity, ReservationFingerprint, world_.events.now());
+        if (std::holds_alternative<identity::HasRun>(verdict)) {
+            reply(RunState::Run);
+            return;
+        }
+        if (!std::holds_alternative<identity::MayRun>(verdict)) {
+            reply(RunState::Unknown);
+            return;
+        }
+    }
+    const std::size_t upstream = world_.random() % world_.searchers.size();
+    world_.searchers[upstream]->reserve(identity, [this, boot = boot_, identity, reply](transport::SubResult result) {
+        Vm* self = world_.vm(number_);
+        if (!self || self->boot() != boot)
+            return;
+        if (result.value) {
+            identities_.finishRun(identity, { 201, "", "done" });
+            reply(RunState::Run);
+        } else if (result.value.error().runState == RunState::NotRun) {
+            identities_.finishNotRun(identity);
+            reply(RunState::NotRun);
+        } else {
+            identities_.finishUnknown(identity);
+            reply(RunState::Unknown);
+        }
+    });
+}
+
+void Vm::noteReservationAnswer(const std::string& identity, RunState state)
+{
+    const auto runs = std::ranges::count(world_.history.reservationRuns, identity, &ReservationRun::identity);
+    world_.history.reservationAnswers.push_back({ identity, state, static_cast<std::size_t>(runs) });
+}
+
+} // namespace flamingousher::scenario
--- /dev/null
+++ b/src/scenario/internal/vm.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include "admission/gate.h"
+#include "fleet/types.h"
+#include "identity/identitykeeper.h"
+#include "query/latencyestimate.h"
+#include "query/loadbudget.h"
+#include "query/query.h"
+#include "query/replicachooser.h"
+#include "query/snapshotcatalog.h"
+#include "scenario/eventqueue.h"
+#include "scenario/internal/fakesearcher.h"
+#include "scenario/types.h"
+#include "upstreams/upstreamqueue.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace flamingousher::scenario {
+
+// What a VM reaches of the world.
+struct World {
+    EventQueue& events;
+    std::mt19937_64& random;
+    const Settings& settings;
+    History& history;
+    std::vector<std::unique_ptr<FakeSearcher>>& searchers;
+
+    // Number of the VM that is the home of an upstream, or none.
+    std::function<std::optional<std::uint32_t>(std::uint32_t upstream)> homeOf;
+
+    // Carries a message to another VM; it may be lost with either VM or in a partition.
+    std::function<void(std::uint32_t from, std::uint32_t to, std::function<void()>)> send;
+    std::function<class Vm*(std::uint32_t)> vm;
+};
+
+// The decision cores of one VM, wired together as the daemon wires them, without sockets.
+class Vm {
+public:
+    Vm(World&, std::uint32_t number, std::uint64_t boot);
+
+    void startQuery(std::uint64_t query, const Load&);
+    void startReservation(std::uint32_t thenAgainAt);
+    void sendReservation(const std::string& identity, std::uint32_t attempts);
+    void sweep();
+    void noteStatus(std::uint32_t upstream, const transport::UpstreamStatus&);
+    void setPausedUntil(base::TimePoint time) { pausedUntil_ = time; }
+    bool isPaused() const { return pausedUntil_ > world_.events.now(); }
+    base::TimePoint pausedUntil() const { return pausedUntil_; }
+    std::size_t unanswered() const { return queries_.size(); }
+    std::uint64_t boot() const { return boot_; }
+
+    // As the home of an upstream.
+    void acceptSubRequest(
+        std::uint32_t from, std::uint64_t fromBoot, std::uint64_t query, bool isExtra, transport::SubRequest);
+    void acceptCancel(std::uint32_t from, std::uint64_t fromBoot, transport::SubRequestId, std::uint32_t upstream);
+
+    // As the issuer of an identity.
+    void acceptReservation(std::uint32_t from, std::uint64_t wantedBoot, const std::string& identity,
+        std::function<void(base::RunState)> reply);
+
+    // A result on its way back.
+    void acceptResult(std::uint64_t query, transport::SubRequestId, transport::SubResult);
+
+private:
+    struct Sent {
+        std::uint32_t upstream { 0 };
+        base::TimePoint at;
+    };
+
+    struct ActiveQuery {
+        Load load;
+        std::unique_ptr<query::Query> query;
+        std::unordered_map<query::SubRequestId, Sent> sent;
+        std::vector<std::uint32_t> askedShards;
+        base::Duration longestQueued { 0 };
+        base::TimePoint deadline;
+        base::TimePoint admittedAt;
+        bool isAdmitted { false };
+    };
+
+    struct HomeWork {
+        std::uint32_t from { 0 };
+        std::uint64_t fromBoot { 0 };
+        std::uint64_t query { 0 };
+        bool isExtra { false };
+        transport::SubRequest request;
+        base::TimePoint offeredAt;
+    };
+
+    using HomeKey = std::pair<std::uint64_t, transport::SubRequestId>; // boot of the sender, its number
+
+    void run(std::uint64_t query);
+    void apply(std::uint64_t query, const std::vector<query::Action>&);
+    void send(std::uint64_t query, ActiveQuery&, const query::SendSubRequest&);
+    void finish(std::uint64_t query, ActiveQuery&, query::QueryOutcome);
+    void refuse(std::uint64_t query, base::Duration retryAfter);
+    void moveWaiting();
+    query::QueryHooks makeHooks();
+    admission::Gate& gate(base::Rank);
+    void learnFromError(ActiveQuery&, const Sent&, const base::Error&);
+    void pump(std::uint32_t upstream);
+    void replyToSender(const HomeWork&, transport::SubResult);
+    void runReservation(const std::string& identity, std::function<void(base::RunState)> reply);
+    void noteReservationAnswer(const std::string& identity, base::RunState);
+    upstreams::UpstreamQueue& queueOf(std::uint32_t upstream);
+
+    World& world_;
+    std::uint32_t number_;
+    std::uint64_t boot_;
+    base::TimePoint pausedUntil_;
+    std::vector<admission::Gate> gates_;
+    query::SnapshotCatalog catalog_;
+    query::LatencyEstimate latency_;
+    query::LoadBudget hedgeBudget_;
+    query::LoadBudget retryBudget_;
+    query::ReplicaChooser chooser_;
+    identity::IdentityKeeper identities_;
+    std::uint64_t lastId_ { 0 };
+    std::map<std::uint64_t, ActiveQuery> queries_;
+    std::map<std::uint32_t, upstreams::UpstreamQueue> queues_;
+    std::map<HomeKey, upstreams::SubRequestId> localIds_;
+    std::map<upstreams::SubRequestId, HomeWork> homeWork_;
+};
+
+} // namespace flamingousher::scenario
