--- a/src/admission/gate.cpp
+++ b/src/admission/gate.cpp
@@ -10,6 +10,9 @@
     constexpr base::Duration DecreaseInterval = std::chrono::milliseconds(50);
     constexpr double LatencyWeight = 0.1;
 
+    // A query that waits must have this many mean latencies left when it starts.
+    constexpr int LatencyMargin = 2;
+
     // The limit grows only while at least this fraction of it is in use.
     constexpr double UsedFractionToGrow = 0.5;
 
@@ -23,14 +26,14 @@
 
 Decision Gate::request(TicketId id, const std::string& caller, base::TimePoint deadline, base::TimePoint now)
 {
-    if (now + meanLatency_ / 2 >= deadline)
+    if (now + meanLatency_ >= deadline)
         return { Verdict::Refused, {} };
     if (waitingByCaller_.find(caller) == waitingByCaller_.end() && mayAdmit(caller)) {
         admit(id, caller);
         return { Verdict::Admitted, {} };
     }
     const base::Duration wait = estimatedWait();
-    if (waiting_.size() >= settings_.waitingCapacity || now + wait + meanLatency_ >= deadline)
+    if (waiting_.size() >= settings_.waitingCapacity || now + wait + LatencyMargin * meanLatency_ >= deadline)
         return { Verdict::Refused, wait + meanLatency_ };
     waiting_.emplace(id, Waiting { caller, deadline });
     waitingByCaller_[caller].emplace(deadline, id);
@@ -115,7 +118,7 @@
     std::vector<TicketId> late;
     for (const auto& [caller, queue] : waitingByCaller_) {
         for (const auto& [deadline, id] : queue) {
-            if (now + meanLatency_ / 2 < deadline)
+            if (now + meanLatency_ < deadline)
                 break;
             late.push_back(id);
         }
--- a/src/query/replicachooser.cpp
+++ b/src/query/replicachooser.cpp
@@ -9,6 +9,11 @@
     constexpr double LatencyWeight = 0.2;
     constexpr double UnknownLatencyMs = 2;
     constexpr std::uint32_t FailuresBeforeEjection = 3;
+    constexpr std::size_t FewReplicas = 4;
+
+    // An answer given up after this many times the usual latency counts as a failure.
+    constexpr double PatienceFactor = 4;
+    constexpr double LeastPatienceMs = 20;
     constexpr base::Duration ShortestEjection = std::chrono::seconds(1);
     constexpr std::uint32_t MostEjectionDoublings = 5;
 
@@ -44,9 +49,17 @@
         usable.insert(usable.end(), ejected.begin(), ejected.end());
     if (usable.empty())
         return std::nullopt;
-    const UpstreamId first = usable[hooks_.random(usable.size())];
-    const UpstreamId second = usable[hooks_.random(usable.size())];
-    return cost(second, now) < cost(first, now) ? second : first;
+    // Compares all of a few replicas, two at random of many: what is known of each is old by then.
+    const std::size_t compared = usable.size() <= FewReplicas ? usable.size() : 2;
+    const std::size_t first = hooks_.random(usable.size());
+    UpstreamId best = usable[first];
+    for (std::size_t index = 1; index < compared; ++index) {
+        const std::size_t next = usable.size() <= FewReplicas ? first + index : hooks_.random(usable.size());
+        const UpstreamId other = usable[next % usable.size()];
+        if (cost(other, now) < cost(best, now))
+            best = other;
+    }
+    return best;
 }
 
 bool ReplicaChooser::mayReceive(UpstreamId upstream, base::TimePoint now)
@@ -91,11 +104,15 @@
         known.ejections = 0;
 }
 
-void ReplicaChooser::onCancelled(UpstreamId upstream, base::Duration elapsed)
+void ReplicaChooser::onCancelled(UpstreamId upstream, base::Duration elapsed, base::TimePoint now)
 {
-    onReleased(upstream);
     Stats& known = stats(upstream);
     const double atLeast = base::toMilliseconds(elapsed);
+    if (atLeast > std::max(LeastPatienceMs, PatienceFactor * known.latencyMs)) {
+        onFailed(upstream, now);
+        return;
+    }
+    onReleased(upstream);
     if (known.answers > 0 && atLeast > known.latencyMs)
         known.latencyMs += LatencyWeight * (atLeast - known.latencyMs);
 }
--- a/src/query/replicachooser.h
+++ b/src/query/replicachooser.h
@@ -20,8 +20,8 @@
 
     explicit ReplicaChooser(Hooks);
 
-    // Power of two choices over expected latency. Ejected and draining upstreams are passed over, unless
-    // more than half of the candidates are ejected.
+    // The least expected latency of a few replicas, or of two at random out of many. Ejected and draining upstreams are
+    // passed over, unless more than half of the candidates are ejected.
     std::optional<UpstreamId> choose(const std::vector<UpstreamId>& candidates, base::TimePoint now);
 
     void onSent(UpstreamId, base::TimePoint now);
@@ -31,7 +31,7 @@
     void onFailed(UpstreamId, base::TimePoint now);
 
     // The answer was no longer wanted after this time: the upstream is at least that slow.
-    void onCancelled(UpstreamId, base::Duration elapsed);
+    void onCancelled(UpstreamId, base::Duration elapsed, base::TimePoint now);
 
     // The sub-request ended in a way that says nothing about the upstream.
     void onReleased(UpstreamId);
--- a/src/query/tests/replicachoosertests.cpp
+++ b/src/query/tests/replicachoosertests.cpp
@@ -82,6 +82,28 @@
     cr_expect_gt(chooser.countChoices(0, { 0, 1, 2 }, Start + seconds(2)), 0);
 }
 
+Test(ReplicaChooser, ejectsASilentReplicaWhoseHedgesWin)
+{
+    Chooser chooser(6);
+    observe(*chooser, 0, milliseconds(5));
+    for (int round = 0; round < 3; ++round) {
+        (*chooser).onSent(0, Start);
+        (*chooser).onCancelled(0, milliseconds(86), Start);
+    }
+    cr_expect((*chooser).isEjected(0, Start));
+}
+
+Test(ReplicaChooser, doesNotBlameAReplicaForAnEarlyCancel)
+{
+    Chooser chooser(7);
+    observe(*chooser, 0, milliseconds(5));
+    for (int round = 0; round < 10; ++round) {
+        (*chooser).onSent(0, Start);
+        (*chooser).onCancelled(0, milliseconds(8), Start);
+    }
+    cr_expect_not((*chooser).isEjected(0, Start));
+}
+
 Test(ReplicaChooser, doesNotTrustEjectionOfMostReplicas)
 {
     Chooser chooser(4);
--- a/src/traffic/internal/activequery.cpp
+++ b/src/traffic/internal/activequery.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-    // Sub-requests slower than this quantile are worth hedging.
-    constexpr double HedgeQuantile = 0.95;
-
-    // A hedge must leave its loser time to lose: never earlier than this.
-    constexpr base::Duration LeastHedgeDelay = std::chrono::milliseconds(1);
-
     // Shorter than the hold-off of a home that takes over, so that nothing of the previous home still runs then.
     constexpr base::Duration LongestSubRequest = std::chrono::seconds(2);
 
@@ -38,6 +32,7 @@
     const std::string& text, std::uint64_t fingerprint)
     : context_(context)
     , pool_(pool)
+    , extraLoad_(pool.extraLoad(request.route().rank))
     , request_(&request)
     , spec_(spec)
     , text_(text)
@@ -54,9 +49,9 @@
         [this](const std::vector<query::UpstreamId>& candidates) {
             return context_.chooser.choose(candidates, context_.now());
         },
-        [this] { return std::max(LeastHedgeDelay, pool_.latency.quantile(HedgeQuantile)); },
-        [this] { return pool_.hedgeBudget.take(context_.now()); },
-        [this] { return pool_.retryBudget.take(context_.now()); },
+        [this] { return extraLoad_.hedgeDelay(); },
+        [this] { return extraLoad_.takeHedge(context_.now()); },
+        [this] { return extraLoad_.takeRetry(context_.now()); },
         [this] { return context_.quarantine.isQuarantined(fingerprint_, context_.now()); },
         [this] { return context_.nextId(); },
     };
@@ -121,10 +116,8 @@
     const base::TimePoint now = context_.now();
     sent_.emplace(action.id, Sent { action.upstream, action.target.shard, now });
     context_.chooser.onSent(action.upstream, now);
-    if (!action.isHedge) {
-        pool_.hedgeBudget.onFirstAttempt();
-        pool_.retryBudget.onFirstAttempt();
-    }
+    if (!action.isHedge)
+        extraLoad_.onFirstAttempt();
     request_->note(action.isHedge ? EventKind::Hedged : EventKind::Sent, action.target.shard, action.upstream);
     transport::SubRequest subRequest { action.id, action.upstream, request_->route().rank, request_->caller(),
         std::min(spec_.deadline, now + LongestSubRequest), fingerprint_,
@@ -140,7 +133,7 @@
     const auto found = sent_.find(action.id);
     if (found == sent_.end())
         return;
-    context_.chooser.onCancelled(action.upstream, context_.now() - found->second.at);
+    context_.chooser.onCancelled(action.upstream, context_.now() - found->second.at, context_.now());
     request_->note(EventKind::Cancelled, found->second.shard, action.upstream);
     sent_.erase(found);
     context_.dispatcher.cancel(action.id, action.upstream);
@@ -170,8 +163,11 @@
         apply(query_.onFailure(id, result.value.error(), now));
         return;
     }
-    context_.chooser.onAnswered(sent.upstream, now - sent.at, now);
-    pool_.latency.observe(now - sent.at);
+    // Background work waits in the queues of all replicas in a flood; that says nothing of the replica.
+    const bool isBackground = request_->route().rank == base::Rank::Background;
+    const base::Duration latency = now - sent.at - (isBackground ? result.queued : base::Duration::zero());
+    context_.chooser.onAnswered(sent.upstream, latency, now);
+    extraLoad_.onAnswered(now - sent.at);
     request_->note(EventKind::Answered, sent.shard, sent.upstream);
     context_.quarantine.onAnswered(fingerprint_);
     apply(query_.onAnswer(id, std::get<query::SubAnswer>(std::move(*result.value)), now));
@@ -185,8 +181,7 @@
         context_.chooser.onReleased(sent.upstream);
     if (error.code == ErrorCode::Shed || error.code == ErrorCode::Overloaded) {
         longestQueued_ = std::max(longestQueued_, spec_.deadline - request_->receivedAt());
-        pool_.hedgeBudget.onShed(context_.now());
-        pool_.retryBudget.onShed(context_.now());
+        extraLoad_.onShed(context_.now());
     }
     if (error.code == ErrorCode::UpstreamCrashed)
         context_.quarantine.onCrash(fingerprint_, context_.directory.at(sent.upstream).name, context_.now());
--- a/src/traffic/internal/trafficstate.cpp
+++ b/src/traffic/internal/trafficstate.cpp
@@ -358,13 +358,13 @@
         boost::json::object gates;
         for (base::Rank rank : base::AllRanks) {
             gates[base::toString(rank)] = boost::json::object { { "limit", pool->gate(rank).limit() },
-                { "in_progress", pool->gate(rank).inProgress() }, { "waiting", pool->gate(rank).waiting() } };
+                { "in_progress", pool->gate(rank).inProgress() }, { "waiting", pool->gate(rank).waiting() },
+                { "hedge_after_ms", base::toMilliseconds(pool->extraLoad(rank).hedgeDelay()) } };
         }
         pools.push_back(boost::json::object {
             { "pool", name },
             { "snapshot", plan ? plan->version : 0 },
             { "shards", plan ? plan->replicas.size() : 0 },
-            { "hedge_after_ms", base::toMilliseconds(pool->latency.quantile(0.95)) },
             { "gates", std::move(gates) },
         });
     }
--- a/src/traffic/poolstate.cpp
+++ b/src/traffic/poolstate.cpp
@@ -4,12 +4,6 @@
 
 namespace {
 
-    // Extra sub-requests as a fraction of first attempts.
-    constexpr double HedgeFraction = 0.03;
-    constexpr double RetryFraction = 0.02;
-
-    constexpr base::Duration InitialHedgeDelay = std::chrono::milliseconds(20);
-
     admission::Gate makeGate()
     {
         return admission::Gate(admission::GateSettings {});
@@ -18,10 +12,7 @@
 } // namespace
 
 PoolState::PoolState()
-    : latency(InitialHedgeDelay)
-    , hedgeBudget(HedgeFraction)
-    , retryBudget(RetryFraction)
-    , gates { makeGate(), makeGate(), makeGate() }
+    : gates { makeGate(), makeGate(), makeGate() }
 {
 }
 
--- a/src/traffic/poolstate.h
+++ b/src/traffic/poolstate.h
@@ -1,15 +1,11 @@
 #pragma once
 
 #include "admission/gate.h"
-#include "query/latencyestimate.h"
-#include "query/loadbudget.h"
+#include "query/extraload.h"
 #include "query/snapshotcatalog.h"
 #include "tables/types.h"
-#include "transport/upstreamdirectory.h"
 
 #include <array>
-#include <map>
-#include <string>
 #include <vector>
 
 namespace flamingousher::traffic {
@@ -21,11 +17,10 @@
     tables::Pool pool;
     std::vector<query::UpstreamId> upstreams;
     query::SnapshotCatalog catalog;
-    query::LatencyEstimate latency;
-    query::LoadBudget hedgeBudget;
-    query::LoadBudget retryBudget;
+    std::array<query::ExtraLoad, base::RankCount> extraLoads;
     std::array<admission::Gate, base::RankCount> gates;
 
+    query::ExtraLoad& extraLoad(base::Rank rank) { return extraLoads[base::indexOf(rank)]; }
     admission::Gate& gate(base::Rank rank) { return gates[base::indexOf(rank)]; }
 };
 
--- a/src/upstreams/upstreamqueue.cpp
+++ b/src/upstreams/upstreamqueue.cpp
@@ -1,6 +1,7 @@
 #include "upstreams/upstreamqueue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace flamingousher::upstreams {
 
@@ -11,11 +12,18 @@
 
     constexpr base::Duration InitialServiceTime = std::chrono::milliseconds(5);
     constexpr double ServiceTimeWeight = 0.05;
+    constexpr double WaitWeight = 0.05;
+
+    // Period over which the slot time that a rank has received counts.
+    constexpr double ServedDecaySeconds = 1.0;
+
+    // A rank floods when its work waits longer for a slot than this many service times, on average.
+    constexpr double FloodWait = 1.0;
 
     // Bounds the credit of a rank, in mean service times, so that no burst follows a blocked period.
     constexpr double MaximumCredit = 4;
 
-    // While a more urgent rank has arrived within this period, other ranks leave one slot free for it.
+    // While a more urgent rank has arrived within this period, a rank that floods leaves one slot free for it.
     constexpr base::Duration SlotReservePeriod = std::chrono::seconds(5);
 
     double toSeconds(base::Duration duration)
@@ -43,7 +51,7 @@
     if (now + estimatedWait(work.rank) >= work.deadline)
         return OfferVerdict::CannotMeetDeadline;
     waiting_[indexOf(work.rank)].push(work);
-    waitingRank_.emplace(work.id, work.rank);
+    waitingWork_.emplace(work.id, Waiting { work.rank, now });
     return OfferVerdict::Queued;
 }
 
@@ -56,7 +64,8 @@
         if (!rank)
             break;
         QueuedWork work = *waiting_[indexOf(*rank)].pop();
-        waitingRank_.erase(work.id);
+        noteWait(*rank, now - waitingWork_.at(work.id).since);
+        waitingWork_.erase(work.id);
         running_.emplace(work.id, Running { *rank, now });
         ++runningByRank_[indexOf(*rank)];
         spendCredit(*rank);
@@ -71,6 +80,9 @@
         return false;
     if (settings_.slots <= 1)
         return true;
+    // Without a flood, a slot kept free would only make this rank wait.
+    if (!isFlooding(rank))
+        return true;
     const std::size_t others = settings_.slots - 1;
     for (Rank higher : base::AllRanks) {
         if (higher >= rank)
@@ -86,6 +98,19 @@
     return true;
 }
 
+bool UpstreamQueue::isFlooding(Rank rank) const
+{
+    // What a rank receives within its floor is its due, however long its work waits.
+    const double floorSeconds = settings_.floors[indexOf(rank)] * settings_.slots * ServedDecaySeconds;
+    return meanWait_[indexOf(rank)] > meanServiceTime_ * FloodWait && servedSeconds_[indexOf(rank)] > floorSeconds;
+}
+
+void UpstreamQueue::noteWait(Rank rank, base::Duration wait)
+{
+    base::Duration& mean = meanWait_[indexOf(rank)];
+    mean += std::chrono::duration_cast<base::Duration>((wait - mean) * WaitWeight);
+}
+
 std::optional<Rank> UpstreamQueue::chooseRank(base::TimePoint now) const
 {
     if (const std::optional<Rank> owed = mostOwedRank(now))
@@ -115,6 +140,9 @@
 {
     const double elapsed = now > creditAt_ ? toSeconds(now - creditAt_) : 0;
     creditAt_ = std::max(creditAt_, now);
+    const double kept = std::exp(-elapsed / ServedDecaySeconds);
+    for (double& served : servedSeconds_)
+        served *= kept;
     const double most = MaximumCredit * toSeconds(meanServiceTime_);
     for (Rank rank : base::AllRanks) {
         double& credit = creditSeconds_[indexOf(rank)];
@@ -128,6 +156,7 @@
 
 void UpstreamQueue::spendCredit(Rank rank)
 {
+    servedSeconds_[indexOf(rank)] += toSeconds(meanServiceTime_);
     double& credit = creditSeconds_[indexOf(rank)];
     credit = std::max(0.0, credit - toSeconds(meanServiceTime_));
 }
@@ -148,11 +177,11 @@
 {
     if (running_.contains(id))
         return CancelVerdict::IsRunning;
-    const auto found = waitingRank_.find(id);
-    if (found == waitingRank_.end())
+    const auto found = waitingWork_.find(id);
+    if (found == waitingWork_.end())
         return CancelVerdict::NotFound;
-    waiting_[indexOf(found->second)].remove(id);
-    waitingRank_.erase(found);
+    waiting_[indexOf(found->second.rank)].remove(id);
+    waitingWork_.erase(found);
     return CancelVerdict::RemovedBeforeStart;
 }
 
@@ -161,7 +190,7 @@
     std::vector<QueuedWork> expired;
     for (RankQueue& queue : waiting_) {
         for (QueuedWork& work : queue.takeExpired(now)) {
-            waitingRank_.erase(work.id);
+            waitingWork_.erase(work.id);
             expired.push_back(std::move(work));
         }
     }
@@ -206,7 +235,7 @@
 
 std::size_t UpstreamQueue::waitingCount() const
 {
-    return waitingRank_.size();
+    return waitingWork_.size();
 }
 
 std::size_t UpstreamQueue::waitingCount(Rank rank) const
--- a/src/upstreams/upstreamqueue.h
+++ b/src/upstreams/upstreamqueue.h
@@ -54,6 +54,8 @@
 
     std::optional<base::Rank> chooseRank(base::TimePoint now) const;
     bool mayStart(base::Rank, base::TimePoint now) const;
+    bool isFlooding(base::Rank) const;
+    void noteWait(base::Rank, base::Duration wait);
     std::optional<base::Rank> mostOwedRank(base::TimePoint now) const;
     void accrueCredit(base::TimePoint now);
     void spendCredit(base::Rank);
@@ -63,11 +65,18 @@
     std::array<RankQueue, base::RankCount> waiting_;
     std::array<std::size_t, base::RankCount> runningByRank_ {};
     std::array<base::TimePoint, base::RankCount> lastArrival_ {};
+    std::array<base::Duration, base::RankCount> meanWait_ {}; // for a slot
+    std::array<double, base::RankCount> servedSeconds_ {}; // slot time, older time decayed
     std::array<double, base::RankCount> creditSeconds_ {}; // slot time owed to each rank by its floor
     base::TimePoint creditAt_;
     base::Duration meanServiceTime_;
     std::unordered_map<SubRequestId, Running> running_;
-    std::unordered_map<SubRequestId, base::Rank> waitingRank_;
+    struct Waiting {
+        base::Rank rank { base::Rank::Normal };
+        base::TimePoint since;
+    };
+
+    std::unordered_map<SubRequestId, Waiting> waitingWork_;
 };
 
 } // namespace flamingousher::upstreams
--- /dev/null
+++ b/tests/process-test.sh
@@ -0,0 +1,180 @@
+#!/usr/bin/env bash
+# Runs nine daemons on loopback addresses against stand-ins and checks what must hold when processes are
+# killed, paused, replaced and restarted. Asserts counts and orders, never times.
+# usage: process-test.sh BUILD_FOLDER
+set -uo pipefail
+bin=$1/src
+load_bin=$1/bench/flamingousher-load
+root=$(cd "$(dirname "$0")/.." && pwd)
+work=$(mktemp -d)
+declare -A daemons
+others=()
+passed=0
+failed=0
+shards=24
+vms=9
+
+finish() {
+    kill -9 "${daemons[@]}" "${others[@]}" 2>/dev/null
+    wait 2>/dev/null
+    [ "$failed" -eq 0 ] && rm -rf "$work"
+}
+trap finish EXIT
+
+check() { # check DESCRIPTION COMMAND...
+    local what=$1
+    shift
+    if "$@"; then
+        passed=$((passed + 1))
+        echo "ok: $what"
+    else
+        failed=$((failed + 1))
+        echo "FAILED: $what"
+    fi
+}
+http() { # http METHOD ADDRESS:PORT TARGET [BODY]
+    local body=${4:-}
+    exec 3<>"/dev/tcp/${2%:*}/${2#*:}" || return 1
+    printf '%s %s HTTP/1.1\r\nHost: t\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s' "$1" "$3" "${#body}" "$body" >&3
+    sed '1,/^\r$/d' <&3
+    exec 3<&-
+}
+address() { echo "127.0.0.$((20 + $1))"; }
+settings() { # settings VM
+    cat > "$work/vm$1.ini" <<END
+[node]
+name = vm-$1
+address = $(address "$1")
+zone = $(printf '%b' "\\x6$((1 + $1 % 3))")
+readiness_notice_ms = 500
+[listen]
+callers = $(address "$1"):8080
+peers = $(address "$1"):8081
+operators = $(address "$1"):8090
+[platform]
+configuration = 127.0.0.1:17100
+vms = 127.0.0.1:17100
+[peers]
+key = process-test-key-only
+END
+}
+start_vm() {
+    "$bin/daemon/flamingousherd" --settings "$work/vm$1.ini" >>"$work/vm$1.log" 2>&1 &
+    daemons[$1]=$!
+}
+is_ready() { http GET "$(address "$1"):8090" /ready 2>/dev/null | grep -q '^ready'; }
+wait_ready() {
+    local try
+    for try in $(seq 300); do is_ready "$1" && return 0; sleep 0.1; done
+    return 1
+}
+all_ready() {
+    local vm
+    for vm in $(seq $vms); do wait_ready "$vm" || return 1; done
+}
+none_ready() {
+    local vm
+    for vm in $(seq $vms); do is_ready "$vm" && return 1; done
+    return 0
+}
+operators() { for vm in $(seq $vms); do printf '%s:8090,' "$(address "$vm")"; done | sed 's/,$//'; }
+ctl() { "$bin/ctl/flamingousherctl" --operators "$(operators)" --timeout_ms 20000 --platform 127.0.0.1:17100 "$@"; }
+publish() { # changes a target, so that the edit differs
+    sed -i "s/target_ms = [0-9]*\$/target_ms = $1/" "$work/tables/routes.ini"
+    ctl publish "$work/tables/routes.ini" "$work/tables/pools.ini" | grep -o '"revision":[0-9]*' | cut -d: -f2
+}
+run_load() { # run_load SECONDS OUTPUT
+    "$load_bin" --daemons "$(for vm in $(seq $vms); do printf '%s,' "$(address "$vm")"; done | sed 's/,$//')" \
+        --seconds "$1" --workers 4 >"$2" &
+    load_pid=$!
+    others+=("$load_pid")
+}
+field() { grep -o "\"$2\":[0-9]*" "$1" | cut -d: -f2; }
+is_zero() { [ "${1:-0}" -eq 0 ]; }
+most_runs() {
+    local index most=0 runs
+    for index in 0 1 2; do
+        runs=$(http GET 127.0.0.1:$((21000 + 2 * shards + index)) /control | grep -o '"most_runs":[0-9]*' | cut -d: -f2)
+        [ "${runs:-0}" -gt "$most" ] && most=$runs
+    done
+    echo "$most"
+}
+
+"$bin/standins/flamingousher-platform" --port 17100 >"$work/platform" & others+=($!)
+for replica in 0 1; do
+    "$bin/standins/flamingousher-searcher" --catalogue "$root/examples/catalogue.tsv" --port $((21000 + replica * shards)) \
+        --shards $shards --count $shards >"$work/searchers$replica" & others+=($!)
+done
+"$bin/standins/flamingousher-searcher" --port $((21000 + 2 * shards)) --count 3 --slots 6 --connections 110 >"$work/ledger" &
+others+=($!)
+for try in $(seq 100); do grep -q ready "$work/platform" "$work/ledger" 2>/dev/null && break; sleep 0.1; done
+sleep 0.5
+bash "$root/examples/make-tables.sh" "$work/tables" $shards 2 21000
+publish 1500 >/dev/null
+listed=$(for vm in $(seq $vms); do printf '{"address":"%s:8081","state":"live"},' "$(address "$vm")"; done | sed 's/,$//')
+http PUT 127.0.0.1:17100 /v1/vms "[$listed]" >/dev/null
+for vm in $(seq $vms); do settings "$vm"; start_vm "$vm"; done
+check "nine daemons become ready" all_ready
+sleep 4
+
+answer=$(http GET "$(address 1):8080" '/slings?q=denim')
+check "a query covers every shard" grep -q "\"answered\":$shards,\"asked\":$shards" <<<"$answer"
+
+run_load 45 "$work/rolling"
+rolled=0
+for vm in $(seq $vms); do
+    kill -TERM "${daemons[$vm]}"
+    wait "${daemons[$vm]}" && rolled=$((rolled + 1))
+    start_vm "$vm"
+    wait_ready "$vm"
+done
+wait "$load_pid"
+cat "$work/rolling"
+check "every planned stop ends with status 0" [ "$rolled" -eq $vms ]
+check "a rolling replacement cuts no request" is_zero "$(field "$work/rolling" cut)"
+check "requests were answered meanwhile" [ "$(field "$work/rolling" complete)" -gt 100 ]
+check "reservations were made meanwhile" [ "$(field "$work/rolling" reserved)" -gt 10 ]
+check "no reservation ran twice" [ "$(most_runs)" -le 1 ]
+
+run_load 14 "$work/killed"
+sleep 1
+kill -9 "${daemons[3]}"
+wait "${daemons[3]}" 2>/dev/null
+sleep 10
+start_vm 3
+wait "$load_pid"
+cat "$work/killed"
+check "the others go on when a VM is lost" [ "$(field "$work/killed" complete)" -gt 100 ]
+check "no reservation ran twice after a VM was lost" [ "$(most_runs)" -le 1 ]
+check "the lost VM comes back" wait_ready 3
+
+kill -STOP "${daemons[5]}"
+revision=$(publish 1600)
+sleep 12
+kill -CONT "${daemons[5]}"
+check "a VM that was stopped for 12 s comes back" wait_ready 5
+check "the edit made meanwhile is in force everywhere" ctl --wait "$revision" config status
+check "the stopped VM noticed its pause" grep -q '"pauses_noticed":[1-9]' <(http GET "$(address 5):8090" /peers)
+
+http PUT 127.0.0.1:17100 /control '{"shown_up_to":1}' >/dev/null
+kill -TERM "${daemons[7]}"
+wait "${daemons[7]}"
+start_vm 7
+check "a VM started against a stale service becomes ready" wait_ready 7
+check "no VM goes back to an old revision" ctl --wait "$revision" config status
+http PUT 127.0.0.1:17100 /control '{"shown_up_to":0,"down":true}' >/dev/null
+kill -TERM "${daemons[8]}"
+wait "${daemons[8]}"
+start_vm 8
+check "a VM started while the service is down becomes ready" grep -q . <(for try in 1 2 3; do is_ready 8 && echo yes && break; sleep 5; done)
+
+for vm in $(seq $vms); do kill -9 "${daemons[$vm]}"; wait "${daemons[$vm]}" 2>/dev/null; done
+for vm in $(seq $vms); do start_vm "$vm"; done
+sleep 6
+check "after a restart of all with the service down no VM pretends to be ready" none_ready
+http PUT 127.0.0.1:17100 /control '{"down":false}' >/dev/null
+check "all VMs become ready when the service is back" all_ready
+check "the newest revision is in force" ctl --wait "$revision" config status
+
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ] || { echo "logs: $work"; exit 1; }
