Let a fiber thread rest between events

Cause: nine idle daemons used all six cores. A trace showed suspend_until() polling without rest: it cancelled its timer on every return, and the cancelled wait was itself an event that made the next poll return at once. Change: the timer is set only when the time changes; the thread's own fiber waits for a signal in place of a 50 ms sleep.

--- a/src/runtime/fiberthread.cpp
+++ b/src/runtime/fiberthread.cpp
@@ -53,8 +53,7 @@
 {
     boost::fibers::use_scheduling_algorithm<FiberScheduler>(io_);
     // The thread's own fiber only waits for the end; the scheduler runs the I/O context meanwhile.
-    while (!io_.stopped())
-        boost::this_fiber::sleep_for(std::chrono::milliseconds(50));
+    stopRequested_.wait();
     stopped_.set_value();
     // A fiber scheduler ends only after all its fibers, and a fiber that waits for I/O never does once the
     // context has stopped. The thread therefore sleeps until the process ends.
@@ -66,7 +65,7 @@
 {
     if (!thread_.joinable())
         return;
-    io_.stop();
+    boost::asio::post(io_, [this] { stopRequested_.notify(); });
     stopped_.get_future().wait();
     thread_.detach();
 }
--- a/src/runtime/fiberthread.h
+++ b/src/runtime/fiberthread.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "runtime/signal.h"
+
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -56,6 +58,7 @@
     std::string name_;
     boost::asio::io_context io_ { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
+    Signal stopRequested_;
     std::promise<void> stopped_;
     std::thread thread_;
 };
--- a/src/runtime/internal/fiberscheduler.cpp
+++ b/src/runtime/internal/fiberscheduler.cpp
@@ -43,13 +43,26 @@
 void FiberScheduler::suspend_until(const std::chrono::steady_clock::time_point& until) noexcept
 {
     picksSincePoll_ = 0;
-    if (until != std::chrono::steady_clock::time_point::max()) {
-        timer_.expires_at(until);
-        timer_.async_wait([](const boost::system::error_code&) {});
-    }
+    armTimer(until);
     if (io_.poll() == 0 && ready_.empty())
         io_.run_one();
-    timer_.cancel();
+}
+
+// Set only when the time changes: each cancelled wait would itself be an event, and the thread would never rest.
+void FiberScheduler::armTimer(const std::chrono::steady_clock::time_point& until)
+{
+    if (until == armedUntil_)
+        return;
+    armedUntil_ = until;
+    if (until == std::chrono::steady_clock::time_point::max()) {
+        timer_.cancel();
+        return;
+    }
+    timer_.expires_at(until);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            armedUntil_ = std::chrono::steady_clock::time_point::max();
+    });
 }
 
 void FiberScheduler::notify() noexcept
--- a/src/runtime/internal/fiberscheduler.h
+++ b/src/runtime/internal/fiberscheduler.h
@@ -21,9 +21,12 @@
     void notify() noexcept override;
 
 private:
+    void armTimer(const std::chrono::steady_clock::time_point&);
+
     boost::asio::io_context& io_;
     boost::asio::steady_timer timer_;
     boost::fibers::scheduler::ready_queue_type ready_;
+    std::chrono::steady_clock::time_point armedUntil_ { std::chrono::steady_clock::time_point::max() };
     std::uint32_t picksSincePoll_ { 0 };
 };
 
--- a/src/runtime/tests/fiberthreadtests.cpp
+++ b/src/runtime/tests/fiberthreadtests.cpp
@@ -9,6 +9,8 @@
 
 #include <criterion/criterion.h>
 
+#include <ctime>
+
 using namespace flamingousher::runtime;
 using boost::asio::ip::tcp;
 
@@ -67,6 +69,23 @@
     cr_expect(didFire);
 }
 
+Test(FiberThread, restsWhileNothingHappens)
+{
+    FiberThread thread("test");
+    const std::clock_t before = std::clock();
+    thread.call([&] {
+        // A fiber that sleeps for long, and events that come before it wakes.
+        spawnFiber([] { boost::this_fiber::sleep_for(std::chrono::seconds(60)); });
+        for (int event = 0; event < 60; ++event) {
+            boost::asio::steady_timer timer(thread.io(), std::chrono::milliseconds(10));
+            timer.async_wait(useFiber);
+        }
+    });
+    // Processor time of the process, which does not depend on the load of the machine.
+    const double usedSeconds = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    cr_expect_lt(usedSeconds, 0.3, "the thread spins: %.3f s of processor time in 0.6 s", usedSeconds);
+}
+
 Test(FiberThread, echoesBetweenManyFibers)
 {
     constexpr int Connections = 50;
