--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -339,8 +339,10 @@
 
 void Membership::spread(const MemberUpdate& update)
 {
-    std::erase_if(rumours_, [&](const Rumour& rumour) { return rumour.update.node.id == update.node.id; });
-    rumours_.push_front({ update, 0 });
+    const auto older = rumourOf_.find(update.node.id);
+    if (older != rumourOf_.end())
+        rumours_.erase(older->second);
+    rumourOf_[update.node.id] = rumours_.emplace(0, update);
 }
 
 void Membership::spreadCrash(const CrashEvidence& evidence)
@@ -358,18 +360,28 @@
     return SendsPerLogNodes * static_cast<std::uint32_t>(std::bit_width(members_.size() + 1));
 }
 
+// Takes the rumours that have been sent least often.
+void Membership::takeRumours(Gossip& gossip)
+{
+    std::vector<Rumours::node_type> taken;
+    while (!rumours_.empty() && gossip.members.size() < settings_.gossipPerMessage) {
+        taken.push_back(rumours_.extract(rumours_.begin()));
+        gossip.members.push_back(taken.back().mapped());
+    }
+    for (Rumours::node_type& rumour : taken) {
+        const NodeId about = rumour.mapped().node.id;
+        if (++rumour.key() >= sendsPerRumour())
+            rumourOf_.erase(about);
+        else
+            rumourOf_[about] = rumours_.insert(std::move(rumour));
+    }
+}
+
 Gossip Membership::makeGossip()
 {
     Gossip gossip;
     gossip.configuration = configuration_;
-    std::ranges::stable_sort(rumours_, {}, &Rumour::sends);
-    for (Rumour& rumour : rumours_) {
-        if (gossip.members.size() >= settings_.gossipPerMessage)
-            break;
-        gossip.members.push_back(rumour.update);
-        ++rumour.sends;
-    }
-    std::erase_if(rumours_, [&](const Rumour& rumour) { return rumour.sends >= sendsPerRumour(); });
+    takeRumours(gossip);
     // One known node at random, so that a node that missed a rumour learns of it in the end.
     if (gossip.members.size() < settings_.gossipPerMessage) {
         for (const NodeId& id : randomUp(1, self_.id)) {
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -100,10 +100,8 @@
         base::TimePoint since;
     };
 
-    struct Rumour {
-        MemberUpdate update;
-        std::uint32_t sends { 0 };
-    };
+    // Updates still to be passed on, by how often each has been sent.
+    using Rumours = std::multimap<std::uint32_t, MemberUpdate>;
 
     struct CrashRumour {
         CrashEvidence evidence;
@@ -122,6 +120,7 @@
     void hearFrom(const NodeInfo&, base::TimePoint now);
     void refute(const MemberUpdate&);
     void spread(const MemberUpdate&);
+    void takeRumours(Gossip&);
     Gossip makeGossip();
     std::uint32_t sendsPerRumour() const;
     Ping makePing(std::uint64_t sequence, const NodeId& target);
@@ -144,7 +143,8 @@
     std::vector<NodeId> probeOrder_;
     std::optional<Probe> probe_;
     std::map<std::uint64_t, Relay> relays_;
-    std::deque<Rumour> rumours_;
+    Rumours rumours_;
+    std::map<NodeId, Rumours::iterator> rumourOf_; // by the node that it is about
     std::deque<CrashRumour> crashRumours_;
     std::set<CrashEvidence> knownCrashes_;
     std::set<std::string> seeds_;
