Keep membership cheap at any size, and its news from getting lost

Cause: membership cost grew with the fleet (820 us/s a node at 400 nodes), since each tick visited every member and each message sorted all rumours. Change: work only when someone is suspected or has ended; rumours in order of sends, newest first; a node held for dead is told at once when it is heard; ended nodes are repeated while remembered; a hold-off starts again while the view still changes. Ruled out: a longer hold-off of shares (5 s): same failures.

--- a/src/fleet/homeduties.cpp
+++ b/src/fleet/homeduties.cpp
@@ -6,6 +6,13 @@
 
 namespace flamingousher::fleet {
 
+namespace {
+
+    // A hold-off that starts again with each change of the view ends after this many times its length.
+    constexpr int LongestHoldOff = 5;
+
+} // namespace
+
 HomeDuties::HomeDuties(NodeId self, HomeDutySettings settings)
     : self_(std::move(self))
     , settings_(settings)
@@ -56,6 +63,9 @@
         Duty duty = held->second;
         if (!duty.isPreviousKnown)
             guessPrevious(key, duty);
+        // While the view still changes, another node may not have heard of this one yet.
+        if (!duty.isReleased && now < duty.servesFrom)
+            duty.servesFrom = std::min(now + settings_.holdOff, duty.createdAt + LongestHoldOff * settings_.holdOff);
         duties.emplace(key.upstream, std::move(duty));
     }
     homes_ = std::move(homes);
@@ -65,6 +75,7 @@
 HomeDuties::Duty HomeDuties::makeDuty(const HomeKey& key, base::TimePoint now) const
 {
     Duty duty;
+    duty.createdAt = now;
     duty.servesFrom = listed_ <= 1 ? now : now + settings_.holdOff;
     const auto earlier = homes_.find(key.upstream);
     if (earlier != homes_.end() && earlier->second.id != self_) {
@@ -98,6 +109,7 @@
         if (duty == duties_.end())
             continue;
         duty->second = {};
+        duty->second.createdAt = now;
         duty->second.servesFrom = now + settings_.holdOff;
         guessPrevious(key, duty->second);
     }
--- a/src/fleet/homeduties.h
+++ b/src/fleet/homeduties.h
@@ -88,6 +88,7 @@
         std::optional<NodeInfo> previous;
         bool isPreviousKnown { false }; // it was the home in this node's own earlier view
         bool isReleased { false };
+        base::TimePoint createdAt;
         base::TimePoint servesFrom;
         base::TimePoint lastClaim;
     };
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -8,14 +8,17 @@
 namespace {
 
     // Each rumour is sent this many times the logarithm of the number of nodes.
-    constexpr std::uint32_t SendsPerLogNodes = 2;
+    constexpr std::uint32_t SendsPerLogNodes = 3;
 
     constexpr std::size_t LeaveNotices = 5;
     constexpr std::size_t SeedContactsPerPeriod = 3;
     constexpr std::size_t CrashesPerMessage = 4;
     constexpr std::size_t KnownCrashes = 1'024;
     constexpr std::size_t RememberedProbes = 8;
-    constexpr std::size_t SuspectsToldPerPeriod = 2;
+    constexpr std::size_t SuspectsToldAtOnce = 2;
+
+    // Often enough that a node on lossy links hears of its suspicion, and is heard, before it ends.
+    constexpr base::Duration NoticeInterval = std::chrono::milliseconds(400);
     constexpr base::Duration RelayLifetime = std::chrono::seconds(2);
 
     // Whether the first update replaces the second.
@@ -61,11 +64,14 @@
     lastTick_ = now;
     checkProbe(now, outgoing);
     expireSuspects(now);
+    if (suspects_ > 0 && now >= nextNotice_) {
+        nextNotice_ = now + NoticeInterval;
+        tellSuspects(outgoing);
+    }
     if (now >= nextProbe_) {
         nextProbe_ = now + settings_.period;
         contactSeeds(outgoing);
         startProbe(now, outgoing);
-        tellSuspects(outgoing);
         forgetDead(now);
         std::erase_if(relays_, [&](const auto& relay) { return now - relay.second.since > RelayLifetime; });
     }
@@ -136,19 +142,19 @@
 void Membership::tellSuspects(std::vector<Outgoing>& outgoing)
 {
     std::size_t told = 0;
-    if (suspects_ == 0)
-        return;
     for (const NodeId& id : randomUp(up_.size(), self_.id)) {
         if (members_.at(id).state != MemberState::Suspect)
             continue;
         outgoing.push_back({ id.endpoint, makePing(++lastSequence_, id) });
-        if (++told >= SuspectsToldPerPeriod)
+        if (++told >= SuspectsToldAtOnce)
             return;
     }
 }
 
 void Membership::contactSeeds(std::vector<Outgoing>& outgoing)
 {
+    if (up_.size() >= seeds_.size())
+        return;
     std::vector<std::string> unknown;
     for (const std::string& endpoint : seeds_) {
         const bool isKnown = std::ranges::any_of(
@@ -165,7 +171,8 @@
 
 void Membership::expireSuspects(base::TimePoint now)
 {
-    if (isStale_)
+    // Most of the time there are none, and the cost of a tick must not grow with the fleet.
+    if (isStale_ || suspects_ == 0)
         return;
     for (auto& [id, member] : members_) {
         // Whoever has heard the node itself since the suspicion began knows better.
@@ -179,6 +186,8 @@
 
 void Membership::forgetDead(base::TimePoint now)
 {
+    if (members_.size() == up_.size())
+        return;
     std::erase_if(members_, [&](const auto& entry) {
         return !isUp(entry.second.state) && now - entry.second.since > settings_.deadRetention
             && !seeds_.contains(entry.first.endpoint);
@@ -196,11 +205,11 @@
             outgoing.push_back({ ping->from.id.endpoint, Ack { 0, self_, makeGossip() } });
             return outgoing;
         }
-        hearFrom(ping->from, now);
+        hearFrom(ping->from, now, outgoing);
         applyGossip(ping->from, ping->gossip, now);
         outgoing.push_back({ ping->from.id.endpoint, Ack { ping->sequence, self_, makeGossip() } });
     } else if (const auto* ack = std::get_if<Ack>(&message)) {
-        hearFrom(ack->from, now);
+        hearFrom(ack->from, now, outgoing);
         applyGossip(ack->from, ack->gossip, now);
         if (probe_ && probe_->sequence == ack->sequence && probe_->target == ack->from.id) {
             probe_.reset();
@@ -213,7 +222,7 @@
         }
     } else {
         const auto& request = std::get<PingRequest>(message);
-        hearFrom(request.from, now);
+        hearFrom(request.from, now, outgoing);
         const std::uint64_t sequence = ++lastSequence_;
         relays_[sequence] = { request.sequence, request.from.id.endpoint, now };
         outgoing.push_back({ request.target.endpoint, makePing(sequence, request.target) });
@@ -221,7 +230,7 @@
     return outgoing;
 }
 
-void Membership::hearFrom(const NodeInfo& node, base::TimePoint now)
+void Membership::hearFrom(const NodeInfo& node, base::TimePoint now, std::vector<Outgoing>& outgoing)
 {
     if (node.id == self_.id)
         return;
@@ -239,12 +248,9 @@
         return;
     }
     found->second.heardAt = now;
-    // A suspected node that is heard directly still has to refute, so that all nodes learn it; it learns of the
-    // suspicion from this node's next message.
-    if (found->second.state == MemberState::Suspect)
-        spread({ found->second.node, MemberState::Suspect, found->second.refutation });
-    if (found->second.state == MemberState::Dead)
-        spread({ found->second.node, MemberState::Dead, found->second.refutation });
+    // A node held for suspected or dead still has to refute, so that all nodes learn it: it is told at once.
+    if (found->second.state == MemberState::Suspect || found->second.state == MemberState::Dead)
+        outgoing.push_back({ node.id.endpoint, makePing(++lastSequence_, node.id) });
 }
 
 void Membership::applyGossip(const NodeInfo& from, const Gossip& gossip, base::TimePoint now)
@@ -330,8 +336,13 @@
 
 void Membership::refute(const MemberUpdate& update)
 {
-    if (update.state == MemberState::Alive || update.refutation < refutation_)
+    if (update.state == MemberState::Alive)
         return;
+    if (update.refutation < refutation_) {
+        // Somebody has missed the refutation.
+        spread({ self_, MemberState::Alive, refutation_ });
+        return;
+    }
     ownDeaths_ += update.state == MemberState::Dead ? 1 : 0;
     refutation_ = update.refutation + 1;
     spread({ self_, MemberState::Alive, refutation_ });
@@ -342,7 +353,8 @@
     const auto older = rumourOf_.find(update.node.id);
     if (older != rumourOf_.end())
         rumours_.erase(older->second);
-    rumourOf_[update.node.id] = rumours_.emplace(0, update);
+    // The newest goes first: it may be the refutation of an older one.
+    rumourOf_[update.node.id] = rumours_.emplace_hint(rumours_.begin(), 0, update);
 }
 
 void Membership::spreadCrash(const CrashEvidence& evidence)
@@ -360,6 +372,21 @@
     return SendsPerLogNodes * static_cast<std::uint32_t>(std::bit_width(members_.size() + 1));
 }
 
+// A rumour reaches nearly every node, but not every one: news of a node that has ended are repeated while it is
+// remembered.
+void Membership::addRandomEnded(Gossip& gossip)
+{
+    if (members_.size() == up_.size())
+        return;
+    std::vector<const Member*> ended;
+    for (const auto& [id, member] : members_) {
+        if (!isUp(member.state))
+            ended.push_back(&member);
+    }
+    const Member& chosen = *ended[hooks_.random() % ended.size()];
+    gossip.members.push_back({ chosen.node, chosen.state, chosen.refutation });
+}
+
 // Takes the rumours that have been sent least often.
 void Membership::takeRumours(Gossip& gossip)
 {
@@ -382,6 +409,7 @@
     Gossip gossip;
     gossip.configuration = configuration_;
     takeRumours(gossip);
+    addRandomEnded(gossip);
     // One known node at random, so that a node that missed a rumour learns of it in the end.
     if (gossip.members.size() < settings_.gossipPerMessage) {
         for (const NodeId& id : randomUp(1, self_.id)) {
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -117,10 +117,11 @@
     void forgetDead(base::TimePoint now);
     void applyUpdate(const MemberUpdate&, base::TimePoint now);
     void applyGossip(const NodeInfo& from, const Gossip&, base::TimePoint now);
-    void hearFrom(const NodeInfo&, base::TimePoint now);
+    void hearFrom(const NodeInfo&, base::TimePoint now, std::vector<Outgoing>&);
     void refute(const MemberUpdate&);
     void spread(const MemberUpdate&);
     void takeRumours(Gossip&);
+    void addRandomEnded(Gossip&);
     Gossip makeGossip();
     std::uint32_t sendsPerRumour() const;
     Ping makePing(std::uint64_t sequence, const NodeId& target);
@@ -151,6 +152,7 @@
     ConfigurationMark configuration_;
     base::TimePoint lastTick_;
     base::TimePoint nextProbe_;
+    base::TimePoint nextNotice_;
     std::uint64_t lastSequence_ { 0 };
     std::uint64_t pauses_ { 0 };
     std::uint64_t ownDeaths_ { 0 };
--- a/tests/process-test.sh
+++ b/tests/process-test.sh
@@ -120,6 +120,32 @@
 answer=$(http GET "$(address 1):8080" '/slings?q=denim')
 check "a query covers every shard" grep -q "\"answered\":$shards,\"asked\":$shards" <<<"$answer"
 
+# Nonsense on each port: lines of seeded random characters, some of which begin like a request.
+awk 'BEGIN { srand(11); for (line = 0; line < 1000; ++line) {
+    text = line % 3 ? "" : "GET /slings?q=" ; size = 1 + int(rand() * 200)
+    for (at = 0; at < size; ++at) text = text sprintf("%c", 33 + int(rand() * 94))
+    print text } }' > "$work/nonsense"
+mapfile -t nonsense < "$work/nonsense"
+resident() { grep VmRSS "/proc/${daemons[1]}/status" | grep -o '[0-9]*'; }
+send_nonsense() { # send_nonsense PORT COUNT
+    local index
+    for ((index = 0; index < $2; ++index)); do
+        exec 3<>"/dev/tcp/$(address 1)/$1" || return 1
+        printf '%s\r\n\r\n' "${nonsense[index]}" >&3
+        exec 3>&-
+    done 2>/dev/null
+}
+for port in 8080 8081 8082 8090; do send_nonsense $port 200; done
+before=$(resident)
+for port in 8080 8081 8082 8090; do send_nonsense $port 1000; done
+sleep 1
+after=$(resident)
+echo "resident memory $before kB, after 4,000 malformed inputs $after kB"
+check "memory stays flat under malformed input" [ "$after" -le $((before * 5 / 4)) ]
+check "the daemon still serves" grep -q "\"answered\":$shards" <(http GET "$(address 1):8080" '/slings?q=denim')
+check "malformed requests are counted" grep -qE 'flamingousher_malformed_requests [1-9]' <(http GET "$(address 1):8090" /metrics)
+check "nonsense on the peers' ports is counted" grep -qE 'flamingousher_(peer_frames|fleet_messages)_refused [1-9]' <(http GET "$(address 1):8090" /metrics)
+
 run_load 45 "$work/rolling"
 rolled=0
 for vm in $(seq $vms); do
