Let queries with more time wait longer for slots before their gate closes

The gate of a rank shrank at 8 ms of slot wait whatever its target, so that its queue ran empty at times and the floor earned nothing. Change: the bound is a tenth of the time left, between 8 and 30 ms.

--- a/src/admission/gate.cpp
+++ b/src/admission/gate.cpp
@@ -13,6 +13,10 @@
     // A query that waits must have this many mean latencies left when it starts.
     constexpr int LatencyMargin = 2;
 
+    // The slot wait above which the limit shrinks is this part of the time left, within bounds.
+    constexpr int WaitFraction = 10;
+    constexpr base::Duration LongestWaitThreshold = std::chrono::milliseconds(30);
+
     // The limit grows only while at least this fraction of it is in use.
     constexpr double UsedFractionToGrow = 0.5;
 
@@ -29,7 +33,7 @@
     if (now + meanLatency_ >= deadline)
         return { Verdict::Refused, {} };
     if (waitingByCaller_.find(caller) == waitingByCaller_.end() && mayAdmit(caller)) {
-        admit(id, caller);
+        admit(id, caller, deadline - now);
         return { Verdict::Admitted, {} };
     }
     const base::Duration wait = estimatedWait();
@@ -63,9 +67,12 @@
     return ownInProgress + 1 <= shareOf(caller) && static_cast<double>(inProgress_.size()) < 2 * limit_;
 }
 
-void Gate::admit(TicketId id, const std::string& caller)
+void Gate::admit(TicketId id, const std::string& caller, base::Duration timeLeft)
 {
-    inProgress_.emplace(id, caller);
+    // A query with more time may wait longer for its slots: a limit that shrinks too early leaves its floor unused.
+    const base::Duration threshold = std::clamp(
+        timeLeft / WaitFraction, settings_.waitThreshold, std::max(settings_.waitThreshold, LongestWaitThreshold));
+    inProgress_.emplace(id, InProgress { caller, threshold });
     ++inProgressByCaller_[caller];
 }
 
@@ -81,12 +88,13 @@
     if (found == inProgress_.end())
         return;
     const bool isUsed = static_cast<double>(inProgress_.size()) >= UsedFractionToGrow * limit_;
-    const auto caller = inProgressByCaller_.find(found->second);
+    const auto caller = inProgressByCaller_.find(found->second.caller);
     if (--caller->second == 0)
         inProgressByCaller_.erase(caller);
+    const base::Duration threshold = found->second.waitThreshold;
     inProgress_.erase(found);
     meanLatency_ += std::chrono::duration_cast<base::Duration>((latency - meanLatency_) * LatencyWeight);
-    if (slotWait > settings_.waitThreshold) {
+    if (slotWait > threshold) {
         if (now - lastDecrease_ >= DecreaseInterval) {
             limit_ = std::max(settings_.leastLimit, limit_ * DecreaseFactor);
             lastDecrease_ = now;
@@ -137,8 +145,9 @@
         for (const auto& [caller, id] : heads) {
             if (!mayAdmit(caller))
                 continue;
+            const base::Duration timeLeft = waiting_.at(id).deadline - now;
             removeWaiting(id);
-            admit(id, caller);
+            admit(id, caller, timeLeft);
             moved.admitted.push_back(id);
             didAdmit = true;
         }
--- a/src/admission/gate.h
+++ b/src/admission/gate.h
@@ -44,7 +44,7 @@
 
     bool mayAdmit(const std::string& caller) const;
     double shareOf(const std::string& caller) const;
-    void admit(TicketId, const std::string& caller);
+    void admit(TicketId, const std::string& caller, base::Duration timeLeft);
     base::Duration estimatedWait() const;
     void removeWaiting(TicketId);
 
@@ -52,7 +52,12 @@
     double limit_;
     base::Duration meanLatency_ { std::chrono::milliseconds(20) };
     base::TimePoint lastDecrease_;
-    std::unordered_map<TicketId, std::string> inProgress_;
+    struct InProgress {
+        std::string caller;
+        base::Duration waitThreshold { 0 };
+    };
+
+    std::unordered_map<TicketId, InProgress> inProgress_;
     std::map<std::string, std::size_t> inProgressByCaller_;
     std::unordered_map<TicketId, Waiting> waiting_;
     std::map<std::string, std::set<std::pair<base::TimePoint, TicketId>>> waitingByCaller_;
--- a/src/admission/types.h
+++ b/src/admission/types.h
@@ -13,7 +13,7 @@
     double initialLimit { 32 }; // queries in progress
     double leastLimit { 2 };
     double mostLimit { 10'000 };
-    base::Duration waitThreshold { std::chrono::milliseconds(8) }; // slot wait above which the limit shrinks
+    base::Duration waitThreshold { std::chrono::milliseconds(8) }; // least slot wait above which the limit shrinks
     std::size_t waitingCapacity { 10'000 };
 
     bool operator==(const GateSettings&) const = default;
