--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -1,8 +1,7 @@
 #include "http/client.h"
 #include "runtime/fiberthread.h"
-#include "runtime/usefiber.h"
+#include "runtime/sleep.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <gflags/gflags.h>
 
@@ -46,19 +45,19 @@
     {
         const Clock::time_point end = Clock::now() + std::chrono::seconds(FLAGS_seconds);
         runtime::spawnFiber([this, end] { watchReadiness(end); });
-        sleepFor(2 * ReadyInterval);
+        runtime::sleepFor(io_, 2 * ReadyInterval);
         std::uint32_t running = FLAGS_workers;
         for (std::uint32_t worker = 0; worker < FLAGS_workers; ++worker) {
             runtime::spawnFiber([this, end, worker, &running] {
                 for (std::uint32_t count = worker; Clock::now() < end; ++count) {
                     sendOne(count);
-                    sleepFor(std::chrono::milliseconds(FLAGS_pause_ms));
+                    runtime::sleepFor(io_, std::chrono::milliseconds(FLAGS_pause_ms));
                 }
                 --running;
             });
         }
         while (running > 0)
-            sleepFor(ReadyInterval);
+            runtime::sleepFor(io_, ReadyInterval);
         print();
     }
 
@@ -68,13 +67,6 @@
         bool isReady { false };
     };
 
-    void sleepFor(std::chrono::milliseconds duration)
-    {
-        boost::asio::steady_timer timer(io_, duration);
-        boost::system::error_code ignored;
-        timer.async_wait(runtime::useFiber[ignored]);
-    }
-
     http::Endpoint endpoint(const Daemon& daemon, std::uint32_t port) const
     {
         return { boost::asio::ip::make_address(daemon.address), static_cast<std::uint16_t>(port) };
@@ -90,7 +82,7 @@
                     daemon.isReady = response && response->result() == http::Status::ok;
                 });
             }
-            sleepFor(ReadyInterval);
+            runtime::sleepFor(io_, ReadyInterval);
         }
     }
 
--- a/src/control/configurationwatcher.cpp
+++ b/src/control/configurationwatcher.cpp
@@ -1,9 +1,8 @@
 #include "control/configurationwatcher.h"
 
 #include "http/client.h"
-#include "runtime/usefiber.h"
+#include "runtime/sleep.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -52,12 +51,12 @@
 {
     while (!isStopping_) {
         if (isPaused_) {
-            pause(PausedCheck);
+            runtime::sleepFor(io_, PausedCheck);
             continue;
         }
         isReachable_ = readOnce();
         if (!isReachable_)
-            pause(RetryPause);
+            runtime::sleepFor(io_, RetryPause);
     }
 }
 
@@ -86,7 +85,7 @@
     if (published->revision <= known_) {
         // A stale replica of the service answers at once: ask again later, not immediately.
         ++counters_.staleReads;
-        pause(RetryPause);
+        runtime::sleepFor(io_, RetryPause);
         return true;
     }
     known_ = published->revision;
@@ -94,11 +93,4 @@
     return true;
 }
 
-void ConfigurationWatcher::pause(base::Duration duration)
-{
-    boost::asio::steady_timer timer(io_, duration);
-    boost::system::error_code ignored;
-    timer.async_wait(runtime::useFiber[ignored]);
-}
-
 } // namespace flamingousher::control
--- a/src/control/configurationwatcher.h
+++ b/src/control/configurationwatcher.h
@@ -50,7 +50,6 @@
     bool isServiceReachable() const { return isReachable_; }
 
 private:
-    void pause(base::Duration);
     bool readOnce();
 
     boost::asio::io_context& io_;
--- a/src/control/fleetcontroller.cpp
+++ b/src/control/fleetcontroller.cpp
@@ -2,9 +2,8 @@
 
 #include "http/client.h"
 #include "runtime/fiberthread.h"
-#include "runtime/usefiber.h"
+#include "runtime/sleep.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 #include <spdlog/spdlog.h>
 
@@ -131,7 +130,7 @@
         watcher_.setPaused(isLeaving_ || (watcher_.didAnswer() && !core_.isWatcher()));
         if (watcher_.didAnswer() && !std::exchange(didReadService_, true))
             core_.onServiceAnswered();
-        sleepFor(TickInterval);
+        runtime::sleepFor(io_, TickInterval);
     }
 }
 
@@ -140,11 +139,11 @@
     while (!isLeaving_) {
         if (!readVmList()) {
             ++vmListFailures_;
-            sleepFor(VmListRetry);
+            runtime::sleepFor(io_, VmListRetry);
             continue;
         }
         const bool isFrequent = core_.isWatcher() || core_.membership().upCount() < core_.listedForShare();
-        sleepFor(isFrequent ? VmListOfWatchers : VmListOfOthers);
+        runtime::sleepFor(io_, isFrequent ? VmListOfWatchers : VmListOfOthers);
     }
 }
 
@@ -172,7 +171,7 @@
     watcher_.stop();
     for (int notice = 0; notice < LeaveNotices; ++notice) {
         step([this](base::TimePoint time) { return core_.leave(time); });
-        sleepFor(LeaveNoticeInterval);
+        runtime::sleepFor(io_, LeaveNoticeInterval);
     }
 }
 
@@ -254,11 +253,4 @@
     gauge("fleet_messages_refused", "Messages refused as not authentic or malformed.", transport_.counters().refused);
 }
 
-void FleetController::sleepFor(std::chrono::milliseconds duration)
-{
-    boost::asio::steady_timer timer(io_, duration);
-    boost::system::error_code ignored;
-    timer.async_wait(runtime::useFiber[ignored]);
-}
-
 } // namespace flamingousher::control
--- a/src/control/fleetcontroller.h
+++ b/src/control/fleetcontroller.h
@@ -59,7 +59,6 @@
     bool readVmList();
     void step(const std::function<std::vector<fleet::FleetOutgoing>(base::TimePoint)>&);
     void carryOut();
-    void sleepFor(std::chrono::milliseconds);
     static base::TimePoint now() { return std::chrono::steady_clock::now(); }
 
     boost::asio::io_context& io_;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,7 +1,7 @@
 #include "daemon/daemon.h"
 
 #include "http/client.h"
-#include "runtime/usefiber.h"
+#include "runtime/sleep.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
@@ -31,13 +31,6 @@
             settings.peerKey };
     }
 
-    void sleepFor(boost::asio::io_context& io, std::chrono::milliseconds duration)
-    {
-        boost::asio::steady_timer timer(io, duration);
-        boost::system::error_code ignored;
-        timer.async_wait(runtime::useFiber[ignored]);
-    }
-
 } // namespace
 
 Daemon::Daemon(settings::DaemonSettings settings)
@@ -179,7 +172,7 @@
     while (!std::ranges::all_of(traffic_, isThreadDone)) {
         if (std::chrono::steady_clock::now() >= end)
             return false;
-        sleepFor(control_.io(), DrainCheckInterval);
+        runtime::sleepFor(control_.io(), DrainCheckInterval);
     }
     return true;
 }
@@ -193,7 +186,7 @@
         spdlog::info("{} is leaving: finishing what is in flight", settings_.name);
         const base::TimePoint end
             = std::chrono::steady_clock::now() + std::chrono::milliseconds(settings_.shutdownTimeoutMs);
-        sleepFor(control_.io(), std::chrono::milliseconds(settings_.readinessNoticeMs));
+        runtime::sleepFor(control_.io(), std::chrono::milliseconds(settings_.readinessNoticeMs));
         for (const auto& thread : traffic_)
             thread->beginShutdown();
         const bool didCallersEnd = waitUntil(end, [](auto& thread) { return thread.areCallersIdle(); });
--- a/src/fleet/fleetcore.cpp
+++ b/src/fleet/fleetcore.cpp
@@ -25,8 +25,8 @@
 
 } // namespace
 
-FleetCore::FleetCore(NodeInfo self, MembershipSettings membershipSettings, HomeDutySettings homeSettings, Hooks hooks,
-    base::TimePoint now)
+FleetCore::FleetCore(const NodeInfo& self, MembershipSettings membershipSettings, HomeDutySettings homeSettings,
+    Hooks hooks, base::TimePoint now)
     : hooks_(std::move(hooks))
     , membership_(self, membershipSettings,
           Membership::Hooks {
--- a/src/fleet/fleetcore.h
+++ b/src/fleet/fleetcore.h
@@ -62,7 +62,7 @@
         std::function<bool(const std::string& upstream)> hasWorkInFlight;
     };
 
-    FleetCore(NodeInfo self, MembershipSettings, HomeDutySettings, Hooks, base::TimePoint now);
+    FleetCore(const NodeInfo& self, MembershipSettings, HomeDutySettings, Hooks, base::TimePoint now);
 
     std::vector<FleetOutgoing> tick(base::TimePoint now);
     std::vector<FleetOutgoing> receive(const FleetMessage&, base::TimePoint now);
--- a/src/fleet/homeduties.cpp
+++ b/src/fleet/homeduties.cpp
@@ -127,6 +127,7 @@
         wanted[*duty.previous].push_back(upstream);
     }
     std::vector<Claim> claims;
+    claims.reserve(wanted.size());
     for (auto& [node, upstreams] : wanted)
         claims.push_back({ node, std::move(upstreams) });
     return claims;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "http/server.h"
 
 #include "runtime/fiberthread.h"
+#include "runtime/listen.h"
 #include "runtime/usefiber.h"
 
 #include <boost/beast/http/error.hpp>
@@ -87,19 +88,7 @@
 error_code Server::listen(const Endpoint& endpoint, bool isShared)
 {
     auto acceptor = std::make_shared<tcp::acceptor>(io_);
-    error_code error;
-    acceptor->open(endpoint.protocol(), error);
-    if (!error)
-        acceptor->set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error && isShared) {
-        using ReusePort = boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-        acceptor->set_option(ReusePort(true), error);
-    }
-    if (!error)
-        acceptor->bind(endpoint, error);
-    if (!error)
-        acceptor->listen(boost::asio::socket_base::max_listen_connections, error);
-    if (error)
+    if (const error_code error = runtime::listenOn(*acceptor, endpoint, isShared))
         return error;
     acceptor_ = acceptor;
     runtime::spawnFiber([this, acceptor] { acceptLoop(acceptor); });
--- a/src/peers/fleettransport.cpp
+++ b/src/peers/fleettransport.cpp
@@ -2,6 +2,7 @@
 
 #include "http/client.h"
 #include "runtime/fiberthread.h"
+#include "runtime/listen.h"
 #include "runtime/usefiber.h"
 #include "wire/codec.h"
 #include "wire/mac.h"
@@ -60,13 +61,7 @@
     if (!error)
         datagrams_.bind(datagramEndpoint, error);
     if (!error)
-        acceptor_.open(endpoint.protocol(), error);
-    if (!error)
-        acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor_.bind(endpoint, error);
-    if (!error)
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+        error = runtime::listenOn(acceptor_, endpoint);
     if (error)
         return error;
     runtime::spawnFiber([this] { receiveDatagrams(); });
--- a/src/peers/peerserver.cpp
+++ b/src/peers/peerserver.cpp
@@ -1,6 +1,7 @@
 #include "peers/peerserver.h"
 
 #include "runtime/fiberthread.h"
+#include "runtime/listen.h"
 #include "runtime/usefiber.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -30,14 +31,7 @@
 
 error_code PeerServer::listen(const http::Endpoint& endpoint)
 {
-    error_code error;
-    acceptor_.open(endpoint.protocol(), error);
-    if (!error)
-        acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor_.bind(endpoint, error);
-    if (!error)
-        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+    const error_code error = runtime::listenOn(acceptor_, endpoint);
     if (!error)
         runtime::spawnFiber([this] { acceptLoop(); });
     return error;
--- a/src/traffic/trafficcontext.cpp
+++ b/src/traffic/trafficcontext.cpp
@@ -1,8 +1,6 @@
 #include "traffic/trafficcontext.h"
 
-#include "runtime/usefiber.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "runtime/sleep.h"
 
 namespace flamingousher::traffic {
 
@@ -33,9 +31,7 @@
 
 void TrafficContext::sleepFor(base::Duration duration)
 {
-    boost::asio::steady_timer timer(io, duration);
-    boost::system::error_code ignored;
-    timer.async_wait(runtime::useFiber[ignored]);
+    runtime::sleepFor(io, duration);
 }
 
 } // namespace flamingousher::traffic
--- a/src/traffic/trafficthread.cpp
+++ b/src/traffic/trafficthread.cpp
@@ -1,7 +1,7 @@
 #include "traffic/trafficthread.h"
 
 #include "http/client.h"
-#include "runtime/usefiber.h"
+#include "runtime/sleep.h"
 #include "traffic/internal/trafficstate.h"
 
 namespace flamingousher::traffic {
@@ -49,11 +49,8 @@
 
 void TrafficThread::runSweep()
 {
-    boost::asio::steady_timer timer(thread_.io());
     for (;;) {
-        timer.expires_after(SweepInterval);
-        boost::system::error_code ignored;
-        timer.async_wait(runtime::useFiber[ignored]);
+        runtime::sleepFor(thread_.io(), SweepInterval);
         state_->sweep();
     }
 }
