Hold all other shards back when a canary crashes its upstream

Cause: a request that crashes upstreams took all 12 searchers of a test with real processes. Trace: the retry of the canary was denied for want of budget, the query took the canary for unanswerable and released the other shards; four upstreams lost within 2 s then counted as a mass failure, and the evidence was dropped. Change: after a crash the canary is sent to one more replica whatever the budget, and without one the query ends; nothing else is released. Ruled out: late gossip (the state of all VMs showed no evidence at all after 1 s).

--- a/src/query/query.cpp
+++ b/src/query/query.cpp
@@ -173,8 +173,15 @@
     }
     if (state.inFlight > 0)
         return actions;
+    if (error.code == ErrorCode::UpstreamCrashed && !heldBack_.empty()) {
+        // The canary died of the request, or with an upstream that was dying anyway: one more replica tells.
+        if (!sendToShard(shard, false, now, actions))
+            finishWithError(
+                { error.code, error.step, error.peer, "the canary's upstream crashed", provedRunState() }, actions);
+        return actions;
+    }
     retryShard(shard, now, actions);
-    // A canary that no replica answers says nothing against the request.
+    // A canary that no replica answers for another reason says nothing against the request.
     if (!isFinished_ && state.inFlight == 0)
         releaseHeldBack(now, actions);
     if (!isFinished_)
--- a/src/query/tests/querytests.cpp
+++ b/src/query/tests/querytests.cpp
@@ -277,6 +277,19 @@
     cr_expect(harness.cancelled_.empty(), "nothing else has been sent");
 }
 
+Test(Query, keepsItsOtherShardsBackWhenTheCanaryCrashesWithoutABudget)
+{
+    Harness harness(75, { .needsCanary = true });
+    harness.mayRetry_ = false;
+    harness.start();
+    harness.fail(harness.sent_[0], ErrorCode::UpstreamCrashed);
+    cr_expect_eq(harness.sent_.size(), 2u);
+    harness.fail(harness.sent_[1], ErrorCode::UpstreamCrashed);
+    cr_expect_eq(harness.sent_.size(), 2u, "both replicas of the shard are gone");
+    cr_assert(harness.outcome_.has_value());
+    cr_expect_eq(harness.outcome_->error->code, ErrorCode::UpstreamCrashed);
+}
+
 Test(Query, cancelsEverythingWhenTheCallerGoes)
 {
     Harness harness(5);
