Try only replicas that come back from ejection

Every upstream is cold at a start, so a quarter of the choices of the first seconds were random. Change: the trials are for upstreams that were ejected, for which they are meant.

--- a/src/query/replicachooser.cpp
+++ b/src/query/replicachooser.cpp
@@ -20,7 +20,7 @@
     // A cold upstream receives a growing part of its share over this many answers.
     constexpr std::uint32_t RampAnswers = 50;
     constexpr double ColdPenalty = 3;
-    constexpr std::size_t ColdTrialInterval = 4;
+    constexpr std::size_t ReturnTrialInterval = 4;
 
 } // namespace
 
@@ -50,9 +50,10 @@
         usable.insert(usable.end(), ejected.begin(), ejected.end());
     if (usable.empty())
         return std::nullopt;
-    // A cold upstream looks dear until it is tried: it gets a small part of the work whatever it seems to cost.
+    // An upstream that comes back from ejection looks dear until it is tried: it gets a small part of the work.
     const UpstreamId candidate = usable[hooks_.random(usable.size())];
-    if (stats(candidate).answers < RampAnswers && hooks_.random(ColdTrialInterval) == 0)
+    const bool isReturning = stats(candidate).ejections > 0 && stats(candidate).answers < RampAnswers;
+    if (isReturning && hooks_.random(ReturnTrialInterval) == 0)
         return candidate;
     // Compares all of a few replicas, two at random of many: what is known of each is old by then.
     const std::size_t compared = usable.size() <= FewReplicas ? usable.size() : 2;
