Make the linter clean again

Cause: parameters copied where a reference serves, an integer division in a benchmark. Change: references. No behaviour changes; scenario tests pass.

--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -327,7 +327,7 @@
             bytes += encoded.size();
         }
     });
-    const double calls = static_cast<double>(20'000 / batchSize) * static_cast<double>(batchSize);
+    const double calls = static_cast<double>((20'000 / batchSize) * batchSize);
     return { perBatch / static_cast<double>(batchSize), static_cast<double>(bytes) / calls };
 }
 
--- a/src/control/fleetcontroller.cpp
+++ b/src/control/fleetcontroller.cpp
@@ -99,9 +99,9 @@
 void FleetController::step(const std::function<std::vector<fleet::FleetOutgoing>(base::TimePoint)>& call)
 {
     const std::unique_lock<boost::fibers::mutex> lock(mutex_);
-    std::vector<fleet::FleetOutgoing> outgoing = call(now());
+    const std::vector<fleet::FleetOutgoing> outgoing = call(now());
     carryOut();
-    transport_.send(std::move(outgoing));
+    transport_.send(outgoing);
 }
 
 void FleetController::carryOut()
--- a/src/peers/fleettransport.cpp
+++ b/src/peers/fleettransport.cpp
@@ -124,9 +124,9 @@
     stream->close();
 }
 
-void FleetTransport::send(std::vector<fleet::FleetOutgoing> outgoing)
+void FleetTransport::send(const std::vector<fleet::FleetOutgoing>& outgoing)
 {
-    for (fleet::FleetOutgoing& message : outgoing) {
+    for (const fleet::FleetOutgoing& message : outgoing) {
         const auto endpoint = http::parseEndpoint(message.endpoint);
         if (!endpoint)
             continue;
--- a/src/peers/fleettransport.h
+++ b/src/peers/fleettransport.h
@@ -23,7 +23,7 @@
     boost::system::error_code listen(const http::Endpoint&);
 
     // Messages may be lost; the fleet's rules allow for it.
-    void send(std::vector<fleet::FleetOutgoing>);
+    void send(const std::vector<fleet::FleetOutgoing>&);
 
     const PeerCounters& counters() const { return counters_; }
 
--- a/src/peers/tests/peerlinktests.cpp
+++ b/src/peers/tests/peerlinktests.cpp
@@ -303,7 +303,7 @@
             std::vector<fleet::FleetOutgoing> outgoing;
             outgoing.push_back({ http::toString(second), fleet::Ping { 1, node, {}, {} } });
             outgoing.push_back({ http::toString(second), fleet::ClaimMessage { node, { "u" } } });
-            from->send(std::move(outgoing));
+            from->send(outgoing);
         }
         sleepFor(thread.io(), milliseconds(300));
         return std::pair(*received, receiver->counters().refused);
--- a/src/scenario/internal/fakesearcher.cpp
+++ b/src/scenario/internal/fakesearcher.cpp
@@ -52,7 +52,8 @@
     return time;
 }
 
-void FakeSearcher::start(const transport::SubRequest& request, std::uint64_t queryNumber, bool isExtra, Reply reply)
+void FakeSearcher::start(
+    const transport::SubRequest& request, std::uint64_t queryNumber, bool isExtra, const Reply& reply)
 {
     const auto& call = std::get<transport::SearchCall>(request.call);
     if (isLost_ || downUntil_ > events_.now()) {
@@ -103,7 +104,7 @@
     reply(refuse(ErrorCode::Cancelled, RunState::Unknown));
 }
 
-void FakeSearcher::reserve(const std::string& identity, Reply reply)
+void FakeSearcher::reserve(const std::string& identity, const Reply& reply)
 {
     if (isLost_ || downUntil_ > events_.now()) {
         events_.after(
--- a/src/scenario/internal/fakesearcher.h
+++ b/src/scenario/internal/fakesearcher.h
@@ -19,11 +19,11 @@
 
     FakeSearcher(EventQueue&, std::mt19937_64&, const Settings&, History&, std::uint32_t number, std::uint32_t shard);
 
-    void start(const transport::SubRequest&, std::uint64_t queryNumber, bool isExtra, Reply);
+    void start(const transport::SubRequest&, std::uint64_t queryNumber, bool isExtra, const Reply&);
     void cancel(transport::SubRequestId, std::uint32_t vm);
 
     // Runs a non-idempotent request.
-    void reserve(const std::string& identity, Reply);
+    void reserve(const std::string& identity, const Reply&);
 
     void publishVersion(query::IndexVersion);
     void crash(base::Duration downFor);
--- a/src/scenario/internal/vm.cpp
+++ b/src/scenario/internal/vm.cpp
@@ -338,7 +338,7 @@
     }
 }
 
-void Vm::replyToSender(const HomeWork& work, transport::SubResult result)
+void Vm::replyToSender(const HomeWork& work, const transport::SubResult& result)
 {
     const std::uint32_t copies
         = std::uniform_real_distribution<double>(0, 1)(world_.random) < world_.settings.faults.duplicateChance ? 2 : 1;
@@ -402,8 +402,8 @@
     });
 }
 
-void Vm::acceptReservation(
-    std::uint32_t from, std::uint64_t wantedBoot, const std::string& identity, std::function<void(RunState)> reply)
+void Vm::acceptReservation(std::uint32_t from, std::uint64_t wantedBoot, const std::string& identity,
+    const std::function<void(RunState)>& reply)
 {
     const auto sendBack
         = [this, from, reply](RunState state) { world_.send(number_, from, [reply, state] { reply(state); }); };
@@ -414,7 +414,7 @@
     runReservation(identity, sendBack);
 }
 
-void Vm::runReservation(const std::string& identity, std::function<void(RunState)> reply)
+void Vm::runReservation(const std::string& identity, const std::function<void(RunState)>& reply)
 {
     if (world_.settings.defect != Defect::RunsForeignIdentities) {
         const identity::Verdict verdict = identities_.begin(identity, ReservationFingerprint, world_.events.now());
--- a/src/scenario/internal/vm.h
+++ b/src/scenario/internal/vm.h
@@ -61,7 +61,7 @@
 
     // As the issuer of an identity.
     void acceptReservation(std::uint32_t from, std::uint64_t wantedBoot, const std::string& identity,
-        std::function<void(base::RunState)> reply);
+        const std::function<void(base::RunState)>& reply);
 
     // A result on its way back.
     void acceptResult(std::uint64_t query, transport::SubRequestId, transport::SubResult);
@@ -104,8 +104,8 @@
     admission::Gate& gate(base::Rank);
     void learnFromError(ActiveQuery&, const Sent&, const base::Error&);
     void pump(std::uint32_t upstream);
-    void replyToSender(const HomeWork&, transport::SubResult);
-    void runReservation(const std::string& identity, std::function<void(base::RunState)> reply);
+    void replyToSender(const HomeWork&, const transport::SubResult&);
+    void runReservation(const std::string& identity, const std::function<void(base::RunState)>& reply);
     void noteReservationAnswer(const std::string& identity, base::RunState);
     upstreams::UpstreamQueue& queueOf(std::uint32_t upstream);
 
