--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -327,7 +327,8 @@
             bytes += encoded.size();
         }
     });
-    const double calls = static_cast<double>((20'000 / batchSize) * batchSize);
+    const std::size_t batches = 20'000 / batchSize;
+    const double calls = static_cast<double>(batches * batchSize);
     return { perBatch / static_cast<double>(batchSize), static_cast<double>(bytes) / calls };
 }
 
--- a/src/scenario/internal/vm.cpp
+++ b/src/scenario/internal/vm.cpp
@@ -329,7 +329,7 @@
                 const auto found = homeWork_.find(id);
                 if (found != homeWork_.end()) {
                     result.queued = queued;
-                    replyToSender(found->second, std::move(result));
+                    replyToSender(found->second, result);
                     localIds_.erase({ found->second.fromBoot, found->second.request.id });
                     homeWork_.erase(found);
                 }
