Offer an idle connection once

Cause: found while reading. A connection opened for a waiting sub-request is notified before its fiber first waits, and runs the job without using up the notification. Its next wait returned at once and put it into the idle list a second time. Two jobs then went to one connection, the first was overwritten and stayed in flight for good: a slot lost, and a planned stop that ended at its timeout. Change: the fiber waits until it has a job or closes before it offers itself again.

--- a/src/transport/upstreamlink.cpp
+++ b/src/transport/upstreamlink.cpp
@@ -169,7 +169,9 @@
             break;
         if (!connection->job) {
             self->idle_.push_back(connection);
-            connection->wakeUp.wait();
+            // A notification may be left from a job that needed no waiting: it must not offer the connection twice.
+            while (!connection->job && !connection->isClosing)
+                connection->wakeUp.wait();
             continue;
         }
         self->execute(connection, *connection->job);
