Keep the linter away from generated code

Cause: the folder of the generated header was an ordinary include folder, so the linter judged it as ours. Earlier checks covered changed files only, and missed it.

--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,6 +1,6 @@
 #include "wire/codec.h"
 
-#include "wire/generated/peer_generated.h"
+#include <peer_generated.h>
 
 #include <algorithm>
 
