--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -91,7 +91,7 @@
     if (const error_code error = runtime::listenOn(*acceptor, endpoint, isShared))
         return error;
     acceptor_ = acceptor;
-    runtime::spawnFiber([this, acceptor] { acceptLoop(acceptor); });
+    runtime::spawnFiber([state = state_, acceptor] { acceptLoop(state, acceptor); });
     return {};
 }
 
@@ -100,9 +100,8 @@
     return acceptor_->local_endpoint();
 }
 
-void Server::acceptLoop(const std::shared_ptr<tcp::acceptor>& acceptor)
+void Server::acceptLoop(const std::shared_ptr<State>& state, const std::shared_ptr<tcp::acceptor>& acceptor)
 {
-    const std::shared_ptr<State> state = state_;
     while (!state->isStopping) {
         error_code error;
         tcp::socket socket = acceptor->async_accept(useFiber[error]);
--- a/src/transport/upstreamlink.cpp
+++ b/src/transport/upstreamlink.cpp
@@ -135,9 +135,10 @@
     if (!idle_.empty()) {
         connection = std::move(idle_.back());
         idle_.pop_back();
+    } else if ((connection = findOpeningConnection())) {
+        // It carries the sub-request as soon as it is open.
     } else if (connections_.size() < connectionLimit()) {
         connection = openConnection();
-        std::erase(idle_, connection);
     } else {
         queue_.finish(id, hooks_.now());
         refuse(id, ErrorCode::Overloaded, Step::Connect, "no connection is left");
@@ -152,6 +153,14 @@
     connection->wakeUp.notify();
 }
 
+// Finds a connection that is being opened ahead of need.
+std::shared_ptr<Connection> UpstreamLink::findOpeningConnection() const
+{
+    const auto found = std::ranges::find_if(connections_,
+        [](const auto& connection) { return !connection->isConnected && !connection->isClosing && !connection->job; });
+    return found == connections_.end() ? nullptr : *found;
+}
+
 std::shared_ptr<Connection> UpstreamLink::openConnection()
 {
     auto connection = std::make_shared<Connection>(io_);
@@ -167,6 +176,8 @@
     while (!connection->isClosing) {
         if (!connection->isConnected && !self->connect(*connection))
             break;
+        if (!connection->job && self->isStopping_)
+            break;
         if (!connection->job) {
             self->idle_.push_back(connection);
             // A notification may be left from a job that needed no waiting: it must not offer the connection twice.
@@ -443,7 +454,8 @@
 
 tl::expected<http::Response, Error> UpstreamLink::askReusing(verb method, const std::string& target)
 {
-    if (idle_.empty())
+    // Without a spare connection, a borrowed one would be missing where a slot is free.
+    if (idle_.empty() || connections_.size() <= queue_.slots())
         return ask(method, target);
     // The connection unused for longest: one that has gone silent is found this way before work needs it.
     const std::shared_ptr<Connection> connection = idle_.front();
@@ -461,13 +473,16 @@
     if (!error)
         beast::http::async_read(connection->socket, connection->buffer, response, useFiber[error]);
     timer.cancel();
-    if (error || connection->isClosing || !response.keep_alive()) {
+    if (error || connection->isClosing) {
         connection->close();
         return tl::unexpected(Error {
             ErrorCode::ConnectionLost, Step::Receive, upstream_.endpoint(), error.message(), RunState::Unknown });
     }
     connection->lastProgress = hooks_.now();
-    idle_.insert(idle_.begin(), connection);
+    if (isStopping_ || !response.keep_alive())
+        connection->close();
+    else
+        idle_.insert(idle_.begin(), connection);
     return response;
 }
 
--- a/src/transport/upstreamlink.h
+++ b/src/transport/upstreamlink.h
@@ -84,6 +84,7 @@
 
     void pump();
     void assign(SubRequestId);
+    std::shared_ptr<Connection> findOpeningConnection() const;
     std::shared_ptr<Connection> openConnection();
     void keepWarm();
     static void runConnection(const std::shared_ptr<UpstreamLink>&, const std::shared_ptr<Connection>&);
