Choose replicas by the rank's work in flight, without slot waits

A trace of one VM's gate showed normal work in turns at 5 ms and at 200 ms slot waits: replicas were chosen by latency that included the wait for a slot, which is old when it arrives and mixes ranks, so that all VMs turned to the same replica in turn. Change: a replica's cost is (1 + work of the rank in flight) x (1 + service time / 20 ms). Response time with the wait only decides how long is too long before a cancel counts as a failure. The benchmark gains "replica slow" (five times the service time).

--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -247,9 +247,9 @@
     base::TimePoint now = Start;
     return nanosecondsPerCall(500'000, [&](std::size_t) {
         const auto first = static_cast<query::UpstreamId>(random() % (upstreams - 2));
-        const query::UpstreamId chosen = *chooser.choose({ first, first + 1, first + 2 }, now);
-        chooser.onSent(chosen, now);
-        chooser.onAnswered(chosen, milliseconds(4), now);
+        const query::UpstreamId chosen = *chooser.choose({ first, first + 1, first + 2 }, base::Rank::Urgent, now);
+        chooser.onSent(chosen, base::Rank::Urgent);
+        chooser.onAnswered(chosen, base::Rank::Urgent, milliseconds(0), milliseconds(4));
     });
 }
 
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -155,6 +155,7 @@
                 settings.loads.push_back({ Rank::Urgent, "flood", 5 * capacity, milliseconds(86), 0.5 });
             } },
         { "replica lost", [](Settings& settings, double) { settings.lostUpstreams = { 3 }; } },
+        { "replica slow", [](Settings& settings, double) { settings.slowUpstreams = { 3 }; } },
         { "upstream silent", [](Settings& settings, double) { settings.silentUpstreams = { 3 }; } },
     };
 }
--- a/src/query/replicachooser.cpp
+++ b/src/query/replicachooser.cpp
@@ -7,7 +7,10 @@
 namespace {
 
     constexpr double LatencyWeight = 0.2;
-    constexpr double UnknownLatencyMs = 2;
+    constexpr double UnknownServiceMs = 2;
+
+    // Work in flight shows load sooner than times do. A replica this much slower counts as if its work were doubled.
+    constexpr double ServiceScaleMs = 20;
     constexpr std::uint32_t FailuresBeforeEjection = 3;
     constexpr std::size_t FewReplicas = 4;
 
@@ -36,7 +39,8 @@
     return stats_[upstream];
 }
 
-std::optional<UpstreamId> ReplicaChooser::choose(const std::vector<UpstreamId>& candidates, base::TimePoint now)
+std::optional<UpstreamId> ReplicaChooser::choose(
+    const std::vector<UpstreamId>& candidates, base::Rank rank, base::TimePoint now)
 {
     std::vector<UpstreamId> usable;
     std::vector<UpstreamId> ejected;
@@ -62,7 +66,7 @@
     for (std::size_t index = 1; index < compared; ++index) {
         const std::size_t next = usable.size() <= FewReplicas ? first + index : hooks_.random(usable.size());
         const UpstreamId other = usable[next % usable.size()];
-        if (cost(other, now) < cost(best, now))
+        if (cost(other, rank) < cost(best, rank))
             best = other;
     }
     return best;
@@ -78,54 +82,63 @@
     return upstream < stats_.size() && stats_[upstream].ejectedUntil > now;
 }
 
-double ReplicaChooser::cost(UpstreamId upstream, base::TimePoint)
+double ReplicaChooser::cost(UpstreamId upstream, base::Rank rank)
 {
     const Stats& known = stats(upstream);
-    const double latency = known.answers > 0 ? known.latencyMs : UnknownLatencyMs;
+    // Without the wait for a slot: the waits of one rank say nothing to another, and by the time an answer tells of
+    // a queue, every VM would turn to the same other replica.
+    const double service = known.answers > 0 ? known.serviceMs : UnknownServiceMs;
     const double warmth = std::min(1.0, static_cast<double>(known.answers) / RampAnswers);
     const double penalty = known.ejections > 0 ? ColdPenalty - (ColdPenalty - 1) * warmth : 1;
-    return latency * (1 + known.inFlight) * penalty * hooks_.distance(upstream);
+    const double inFlight = known.inFlight[base::indexOf(rank)];
+    return (1 + inFlight) * (1 + service / ServiceScaleMs) * penalty * hooks_.distance(upstream);
 }
 
-void ReplicaChooser::onSent(UpstreamId upstream, base::TimePoint)
+void ReplicaChooser::onSent(UpstreamId upstream, base::Rank rank)
 {
-    ++stats(upstream).inFlight;
+    ++stats(upstream).inFlight[base::indexOf(rank)];
 }
 
-void ReplicaChooser::onReleased(UpstreamId upstream)
+void ReplicaChooser::onReleased(UpstreamId upstream, base::Rank rank)
 {
-    Stats& known = stats(upstream);
-    known.inFlight -= known.inFlight > 0 ? 1 : 0;
+    std::uint32_t& inFlight = stats(upstream).inFlight[base::indexOf(rank)];
+    inFlight -= inFlight > 0 ? 1 : 0;
 }
 
-void ReplicaChooser::onAnswered(UpstreamId upstream, base::Duration latency, base::TimePoint)
+void ReplicaChooser::onAnswered(UpstreamId upstream, base::Rank rank, base::Duration queued, base::Duration total)
 {
-    onReleased(upstream);
+    onReleased(upstream, rank);
     Stats& known = stats(upstream);
-    const double observed = base::toMilliseconds(latency);
-    known.latencyMs = known.answers == 0 ? observed : known.latencyMs + LatencyWeight * (observed - known.latencyMs);
+    const double response = base::toMilliseconds(total);
+    const double service = base::toMilliseconds(total - queued);
+    const double weight = known.answers == 0 ? 1 : LatencyWeight;
+    known.serviceMs += weight * (service - known.serviceMs);
+    known.responseMs += weight * (response - known.responseMs);
     ++known.answers;
     known.consecutiveFailures = 0;
     if (known.answers >= RampAnswers)
         known.ejections = 0;
 }
 
-void ReplicaChooser::onCancelled(UpstreamId upstream, base::Duration elapsed, base::TimePoint now)
+void ReplicaChooser::onCancelled(UpstreamId upstream, base::Rank rank, base::Duration elapsed, base::TimePoint now)
 {
     Stats& known = stats(upstream);
     const double atLeast = base::toMilliseconds(elapsed);
-    if (atLeast > std::max(LeastPatienceMs, PatienceFactor * known.latencyMs)) {
-        onFailed(upstream, now);
+    if (atLeast > std::max(LeastPatienceMs, PatienceFactor * known.responseMs)) {
+        onFailed(upstream, rank, now);
         return;
     }
-    onReleased(upstream);
-    if (known.answers > 0 && atLeast > known.latencyMs)
-        known.latencyMs += LatencyWeight * (atLeast - known.latencyMs);
+    onReleased(upstream, rank);
+    const double excess = atLeast - known.responseMs;
+    if (known.answers == 0 || excess <= 0)
+        return;
+    known.serviceMs += LatencyWeight * excess;
+    known.responseMs += LatencyWeight * excess;
 }
 
-void ReplicaChooser::onFailed(UpstreamId upstream, base::TimePoint now)
+void ReplicaChooser::onFailed(UpstreamId upstream, base::Rank rank, base::TimePoint now)
 {
-    onReleased(upstream);
+    onReleased(upstream, rank);
     Stats& known = stats(upstream);
     if (++known.consecutiveFailures < FailuresBeforeEjection)
         return;
--- a/src/query/replicachooser.h
+++ b/src/query/replicachooser.h
@@ -2,6 +2,7 @@
 
 #include "query/types.h"
 
+#include <array>
 #include <functional>
 #include <optional>
 #include <vector>
@@ -20,29 +21,32 @@
 
     explicit ReplicaChooser(Hooks);
 
-    // The least expected latency of a few replicas, or of two at random out of many. Ejected and draining upstreams are
-    // passed over, unless more than half of the candidates are ejected.
-    std::optional<UpstreamId> choose(const std::vector<UpstreamId>& candidates, base::TimePoint now);
+    // The least work of the rank in flight and service time, of a few replicas or of two at random out of many. Ejected
+    // and draining upstreams are passed over, unless more than half of the candidates are ejected.
+    std::optional<UpstreamId> choose(const std::vector<UpstreamId>& candidates, base::Rank, base::TimePoint now);
 
-    void onSent(UpstreamId, base::TimePoint now);
-    void onAnswered(UpstreamId, base::Duration latency, base::TimePoint now);
+    void onSent(UpstreamId, base::Rank);
+
+    // queued: the part of the time that the sub-request waited for a slot.
+    void onAnswered(UpstreamId, base::Rank, base::Duration queued, base::Duration total);
 
     // A failure that is evidence against the upstream. Cancelled and refused work is not.
-    void onFailed(UpstreamId, base::TimePoint now);
+    void onFailed(UpstreamId, base::Rank, base::TimePoint now);
 
     // The answer was no longer wanted after this time: the upstream is at least that slow.
-    void onCancelled(UpstreamId, base::Duration elapsed, base::TimePoint now);
+    void onCancelled(UpstreamId, base::Rank, base::Duration elapsed, base::TimePoint now);
 
     // The sub-request ended in a way that says nothing about the upstream.
-    void onReleased(UpstreamId);
+    void onReleased(UpstreamId, base::Rank);
 
     void setDraining(UpstreamId, bool isDraining);
     bool isEjected(UpstreamId, base::TimePoint now) const;
 
 private:
     struct Stats {
-        double latencyMs { 0 };
-        std::uint32_t inFlight { 0 };
+        double serviceMs { 0 };
+        double responseMs { 0 }; // with the wait for a slot
+        std::array<std::uint32_t, base::RankCount> inFlight {};
         std::uint32_t consecutiveFailures { 0 };
         std::uint32_t ejections { 0 };
         std::uint32_t answers { 0 };
@@ -52,7 +56,7 @@
     };
 
     Stats& stats(UpstreamId);
-    double cost(UpstreamId, base::TimePoint now);
+    double cost(UpstreamId, base::Rank);
     bool mayReceive(UpstreamId, base::TimePoint now);
 
     Hooks hooks_;
--- a/src/query/tests/replicachoosertests.cpp
+++ b/src/query/tests/replicachoosertests.cpp
@@ -8,6 +8,7 @@
 
 using namespace flamingousher;
 using namespace flamingousher::query;
+using base::Rank;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -29,7 +30,7 @@
     {
         int count = 0;
         for (int round = 0; round < 100; ++round)
-            count += chooser_.choose(candidates, now) == wanted ? 1 : 0;
+            count += chooser_.choose(candidates, Rank::Urgent, now) == wanted ? 1 : 0;
         return count;
     }
 
@@ -38,19 +39,19 @@
     ReplicaChooser chooser_;
 };
 
-void observe(ReplicaChooser& chooser, UpstreamId upstream, milliseconds latency)
+void observe(ReplicaChooser& chooser, UpstreamId upstream, milliseconds total, milliseconds queued = milliseconds(0))
 {
     for (int round = 0; round < 60; ++round) {
-        chooser.onSent(upstream, Start);
-        chooser.onAnswered(upstream, latency, Start);
+        chooser.onSent(upstream, Rank::Urgent);
+        chooser.onAnswered(upstream, Rank::Urgent, queued, total);
     }
 }
 
 void failThreeTimes(ReplicaChooser& chooser, UpstreamId upstream)
 {
     for (int round = 0; round < 3; ++round) {
-        chooser.onSent(upstream, Start);
-        chooser.onFailed(upstream, Start);
+        chooser.onSent(upstream, Rank::Urgent);
+        chooser.onFailed(upstream, Rank::Urgent, Start);
     }
 }
 
@@ -69,10 +70,37 @@
 {
     Chooser chooser(2);
     for (int round = 0; round < 10; ++round)
-        (*chooser).onSent(0, Start);
+        (*chooser).onSent(0, Rank::Urgent);
     cr_expect_leq(chooser.countChoices(0, { 0, 1 }, Start), 40);
 }
 
+Test(ReplicaChooser, doesNotCountWorkOfAnotherRank)
+{
+    Chooser chooser(2);
+    for (int round = 0; round < 10; ++round)
+        (*chooser).onSent(0, Rank::Background);
+    cr_expect_geq(chooser.countChoices(0, { 0, 1 }, Start), 30);
+}
+
+Test(ReplicaChooser, doesNotCountTheWaitForASlot)
+{
+    Chooser chooser(8);
+    observe(*chooser, 0, milliseconds(104), milliseconds(100));
+    observe(*chooser, 1, milliseconds(4));
+    cr_expect_geq(chooser.countChoices(0, { 0, 1 }, Start), 30);
+}
+
+Test(ReplicaChooser, doesNotBlameAReplicaForTheUsualWait)
+{
+    Chooser chooser(9);
+    observe(*chooser, 0, milliseconds(54), milliseconds(50));
+    for (int round = 0; round < 10; ++round) {
+        (*chooser).onSent(0, Rank::Urgent);
+        (*chooser).onCancelled(0, Rank::Urgent, milliseconds(60), Start);
+    }
+    cr_expect_not((*chooser).isEjected(0, Start));
+}
+
 Test(ReplicaChooser, ejectsAfterRepeatedFailuresAndForgivesInTime)
 {
     Chooser chooser(3);
@@ -87,8 +115,8 @@
     Chooser chooser(6);
     observe(*chooser, 0, milliseconds(5));
     for (int round = 0; round < 3; ++round) {
-        (*chooser).onSent(0, Start);
-        (*chooser).onCancelled(0, milliseconds(86), Start);
+        (*chooser).onSent(0, Rank::Urgent);
+        (*chooser).onCancelled(0, Rank::Urgent, milliseconds(86), Start);
     }
     cr_expect((*chooser).isEjected(0, Start));
 }
@@ -98,8 +126,8 @@
     Chooser chooser(7);
     observe(*chooser, 0, milliseconds(5));
     for (int round = 0; round < 10; ++round) {
-        (*chooser).onSent(0, Start);
-        (*chooser).onCancelled(0, milliseconds(8), Start);
+        (*chooser).onSent(0, Rank::Urgent);
+        (*chooser).onCancelled(0, Rank::Urgent, milliseconds(8), Start);
     }
     cr_expect_not((*chooser).isEjected(0, Start));
 }
@@ -117,7 +145,7 @@
     Chooser chooser(5);
     (*chooser).setDraining(0, true);
     cr_expect_eq(chooser.countChoices(0, { 0, 1 }, Start), 0);
-    cr_expect_not((*chooser).choose({ 0 }, Start).has_value());
+    cr_expect_not((*chooser).choose({ 0 }, Rank::Urgent, Start).has_value());
 }
 
 Test(LoadBudget, allowsAFractionOfFirstAttempts)
--- a/src/scenario/internal/fakesearcher.cpp
+++ b/src/scenario/internal/fakesearcher.cpp
@@ -14,6 +14,7 @@
     // A new version is served beside the two before it.
     constexpr std::size_t KeptVersions = 3;
 
+    constexpr int SlowFactor = 5;
     constexpr base::Duration ReservationTime = std::chrono::milliseconds(3);
     constexpr base::Duration RefusalTime = std::chrono::microseconds(300);
 
@@ -34,6 +35,7 @@
     , shard_(shard)
     , isSilent_(contains(settings.silentUpstreams, number))
     , isLost_(contains(settings.lostUpstreams, number))
+    , isSlow_(contains(settings.slowUpstreams, number))
 {
 }
 
@@ -47,6 +49,8 @@
     std::lognormal_distribution<double> spread(0, 0.3);
     const double seconds = std::chrono::duration<double>(settings_.serviceTime).count() * spread(random_);
     base::Duration time = std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+    if (isSlow_)
+        time *= SlowFactor;
     if (std::uniform_real_distribution<double>(0, 1)(random_) < settings_.faults.straggleChance)
         time += settings_.faults.straggle;
     return time;
--- a/src/scenario/internal/fakesearcher.h
+++ b/src/scenario/internal/fakesearcher.h
@@ -48,6 +48,7 @@
     bool isDraining_ { false };
     bool isSilent_ { false };
     bool isLost_ { false };
+    bool isSlow_ { false };
 };
 
 } // namespace flamingousher::scenario
--- a/src/scenario/internal/vm.cpp
+++ b/src/scenario/internal/vm.cpp
@@ -89,9 +89,9 @@
     query::ExtraLoad& extraLoad = extraLoads_[base::indexOf(rank)];
     return {
         [this] { return catalog_.bestPlan(); },
-        [this](const std::vector<query::UpstreamId>& candidates) -> std::optional<query::UpstreamId> {
+        [this, rank](const std::vector<query::UpstreamId>& candidates) -> std::optional<query::UpstreamId> {
             if (world_.settings.policy.choosesByLatency)
-                return chooser_.choose(candidates, world_.events.now());
+                return chooser_.choose(candidates, rank, world_.events.now());
             return candidates[world_.random() % candidates.size()];
         },
         [&extraLoad] { return extraLoad.hedgeDelay(); },
@@ -128,7 +128,8 @@
             const auto sent = active.sent.find(toCancel->id);
             if (sent == active.sent.end())
                 continue;
-            chooser_.onCancelled(toCancel->upstream, world_.events.now() - sent->second.at, world_.events.now());
+            chooser_.onCancelled(
+                toCancel->upstream, active.load.rank, world_.events.now() - sent->second.at, world_.events.now());
             active.sent.erase(sent);
             if (const auto home = world_.homeOf(toCancel->upstream)) {
                 world_.send(number_, *home, [this, home, id = toCancel->id, upstream = toCancel->upstream] {
@@ -145,7 +146,7 @@
 {
     const base::TimePoint now = world_.events.now();
     active.sent.emplace(action.id, Sent { action.upstream, now });
-    chooser_.onSent(action.upstream, now);
+    chooser_.onSent(action.upstream, active.load.rank);
     if (!action.isHedge)
         extraLoads_[base::indexOf(active.load.rank)].onFirstAttempt();
     const bool isExtra = std::ranges::find(active.askedShards, action.target.shard) != active.askedShards.end();
@@ -196,9 +197,7 @@
         apply(number, active.query->onFailure(id, result.value.error(), now));
         return;
     }
-    const bool isBackground = active.load.rank == base::Rank::Background;
-    const base::Duration latency = now - record.at - (isBackground ? result.queued : base::Duration::zero());
-    chooser_.onAnswered(record.upstream, latency, now);
+    chooser_.onAnswered(record.upstream, active.load.rank, result.queued, now - record.at);
     extraLoads_[base::indexOf(active.load.rank)].onAnswered(now - record.at);
     auto& answer = std::get<query::SubAnswer>(*result.value);
     if (world_.settings.defect == Defect::OverstatesCoverage && world_.random() % 20 == 0)
@@ -212,9 +211,9 @@
     const bool isUpstreamsFault = error.code == ErrorCode::UpstreamCrashed || error.code == ErrorCode::Unreachable
         || (error.code == ErrorCode::DeadlineExceeded && error.step == Step::Receive);
     if (isUpstreamsFault)
-        chooser_.onFailed(sent.upstream, now);
+        chooser_.onFailed(sent.upstream, active.load.rank, now);
     else
-        chooser_.onReleased(sent.upstream);
+        chooser_.onReleased(sent.upstream, active.load.rank);
     if (error.code == ErrorCode::Overloaded) {
         active.longestQueued = active.load.target;
         extraLoads_[base::indexOf(active.load.rank)].onShed(now);
--- a/src/scenario/types.h
+++ b/src/scenario/types.h
@@ -80,6 +80,7 @@
     Defect defect { Defect::None };
     std::vector<std::uint32_t> silentUpstreams; // never answer
     std::vector<std::uint32_t> lostUpstreams; // refuse connections
+    std::vector<std::uint32_t> slowUpstreams; // take five times as long
 };
 
 // What happened in a run, in order.
--- a/src/traffic/internal/activequery.cpp
+++ b/src/traffic/internal/activequery.cpp
@@ -47,7 +47,7 @@
     return {
         [this] { return pool_.catalog.bestPlan(); },
         [this](const std::vector<query::UpstreamId>& candidates) {
-            return context_.chooser.choose(candidates, context_.now());
+            return context_.chooser.choose(candidates, request_->route().rank, context_.now());
         },
         [this] { return extraLoad_.hedgeDelay(); },
         [this] { return extraLoad_.takeHedge(context_.now()); },
@@ -115,7 +115,7 @@
 {
     const base::TimePoint now = context_.now();
     sent_.emplace(action.id, Sent { action.upstream, action.target.shard, now });
-    context_.chooser.onSent(action.upstream, now);
+    context_.chooser.onSent(action.upstream, request_->route().rank);
     if (!action.isHedge)
         extraLoad_.onFirstAttempt();
     request_->note(action.isHedge ? EventKind::Hedged : EventKind::Sent, action.target.shard, action.upstream);
@@ -133,7 +133,8 @@
     const auto found = sent_.find(action.id);
     if (found == sent_.end())
         return;
-    context_.chooser.onCancelled(action.upstream, context_.now() - found->second.at, context_.now());
+    context_.chooser.onCancelled(
+        action.upstream, request_->route().rank, context_.now() - found->second.at, context_.now());
     request_->note(EventKind::Cancelled, found->second.shard, action.upstream);
     sent_.erase(found);
     context_.dispatcher.cancel(action.id, action.upstream);
@@ -163,10 +164,7 @@
         apply(query_.onFailure(id, result.value.error(), now));
         return;
     }
-    // Background work waits in the queues of all replicas in a flood; that says nothing of the replica.
-    const bool isBackground = request_->route().rank == base::Rank::Background;
-    const base::Duration latency = now - sent.at - (isBackground ? result.queued : base::Duration::zero());
-    context_.chooser.onAnswered(sent.upstream, latency, now);
+    context_.chooser.onAnswered(sent.upstream, request_->route().rank, result.queued, now - sent.at);
     extraLoad_.onAnswered(now - sent.at);
     request_->note(EventKind::Answered, sent.shard, sent.upstream);
     context_.quarantine.onAnswered(fingerprint_);
@@ -176,9 +174,9 @@
 void ActiveQuery::learnFromError(const Sent& sent, const Error& error)
 {
     if (isEvidenceAgainstUpstream(error))
-        context_.chooser.onFailed(sent.upstream, context_.now());
+        context_.chooser.onFailed(sent.upstream, request_->route().rank, context_.now());
     else
-        context_.chooser.onReleased(sent.upstream);
+        context_.chooser.onReleased(sent.upstream, request_->route().rank);
     if (error.code == ErrorCode::Shed || error.code == ErrorCode::Overloaded) {
         longestQueued_ = std::max(longestQueued_, spec_.deadline - request_->receivedAt());
         extraLoad_.onShed(context_.now());
--- a/src/traffic/internal/servicehandler.cpp
+++ b/src/traffic/internal/servicehandler.cpp
@@ -130,7 +130,7 @@
     base::Duration backoff = FirstBackoff;
     RunState proved = RunState::NotRun;
     while (context_.now() < request.deadline() - ReplyMargin) {
-        const auto upstream = context_.chooser.choose(pool.upstreams, context_.now());
+        const auto upstream = context_.chooser.choose(pool.upstreams, request.route().rank, context_.now());
         if (upstream) {
             last = runOnce(request, call, *upstream);
             if (last)
@@ -157,7 +157,7 @@
         request.deadline() - ReplyMargin, request.fingerprint(), call };
     auto signal = std::make_shared<runtime::Signal>();
     auto result = std::make_shared<transport::SubResult>();
-    context_.chooser.onSent(upstream, sentAt);
+    context_.chooser.onSent(upstream, request.route().rank);
     request.note(EventKind::Sent, 0, upstream);
     context_.dispatcher.submit(std::move(subRequest), [signal, result](transport::SubResult value) {
         *result = std::move(value);
@@ -165,7 +165,7 @@
     });
     signal->wait();
     if (result->value) {
-        context_.chooser.onAnswered(upstream, context_.now() - sentAt, context_.now());
+        context_.chooser.onAnswered(upstream, request.route().rank, result->queued, context_.now() - sentAt);
         context_.quarantine.onAnswered(request.fingerprint());
         request.note(EventKind::Answered, 0, upstream);
         return std::get<transport::ServiceAnswer>(std::move(*result->value));
@@ -177,9 +177,9 @@
     const bool isUpstreamsFault = error.code == ErrorCode::Unreachable || error.code == ErrorCode::ConnectionLost
         || error.code == ErrorCode::UpstreamCrashed;
     if (isUpstreamsFault)
-        context_.chooser.onFailed(upstream, context_.now());
+        context_.chooser.onFailed(upstream, request.route().rank, context_.now());
     else
-        context_.chooser.onReleased(upstream);
+        context_.chooser.onReleased(upstream, request.route().rank);
     return tl::unexpected(error);
 }
 
