Judge errors of upstreams in one place

Cause: searches, services and the scenario's VMs each decided which errors are evidence against an upstream, differently: a service whose answers never came was not ejected. Change: ReplicaChooser::onError() decides; the longest sub-request is one constant.

--- a/src/query/replicachooser.cpp
+++ b/src/query/replicachooser.cpp
@@ -25,6 +25,21 @@
     constexpr double ColdPenalty = 3;
     constexpr std::size_t ReturnTrialInterval = 4;
 
+    bool isEvidenceAgainstUpstream(const base::Error& error)
+    {
+        switch (error.code) {
+        case base::ErrorCode::Unreachable:
+        case base::ErrorCode::UpstreamCrashed:
+        case base::ErrorCode::ConnectionLost:
+        case base::ErrorCode::ProtocolViolation:
+            return true;
+        case base::ErrorCode::DeadlineExceeded:
+            return error.step == base::Step::Receive;
+        default:
+            return false;
+        }
+    }
+
 } // namespace
 
 ReplicaChooser::ReplicaChooser(Hooks hooks)
@@ -136,6 +151,14 @@
     known.responseMs += LatencyWeight * excess;
 }
 
+void ReplicaChooser::onError(UpstreamId upstream, base::Rank rank, const base::Error& error, base::TimePoint now)
+{
+    if (isEvidenceAgainstUpstream(error))
+        onFailed(upstream, rank, now);
+    else
+        onReleased(upstream, rank);
+}
+
 void ReplicaChooser::onFailed(UpstreamId upstream, base::Rank rank, base::TimePoint now)
 {
     onReleased(upstream, rank);
--- a/src/query/replicachooser.h
+++ b/src/query/replicachooser.h
@@ -30,6 +30,9 @@
     // queued: the part of the time that the sub-request waited for a slot.
     void onAnswered(UpstreamId, base::Rank, base::Duration queued, base::Duration total);
 
+    // Ends a sub-request by an error, which counts as a failure when it is evidence against the upstream.
+    void onError(UpstreamId, base::Rank, const base::Error&, base::TimePoint now);
+
     // A failure that is evidence against the upstream. Cancelled and refused work is not.
     void onFailed(UpstreamId, base::Rank, base::TimePoint now);
 
--- a/src/query/tests/replicachoosertests.cpp
+++ b/src/query/tests/replicachoosertests.cpp
@@ -132,6 +132,23 @@
     cr_expect_not((*chooser).isEjected(0, Start));
 }
 
+Test(ReplicaChooser, tellsEvidenceAgainstAnUpstreamFromRefusals)
+{
+    const auto isEjectedBy = [](base::ErrorCode code, base::Step step) {
+        Chooser chooser(10);
+        for (int round = 0; round < 3; ++round) {
+            (*chooser).onSent(0, Rank::Urgent);
+            (*chooser).onError(0, Rank::Urgent, { code, step, "u", "" }, Start);
+        }
+        return (*chooser).isEjected(0, Start);
+    };
+    cr_expect(isEjectedBy(base::ErrorCode::ConnectionLost, base::Step::Receive));
+    cr_expect(isEjectedBy(base::ErrorCode::DeadlineExceeded, base::Step::Receive));
+    cr_expect_not(isEjectedBy(base::ErrorCode::DeadlineExceeded, base::Step::Queue));
+    cr_expect_not(isEjectedBy(base::ErrorCode::Overloaded, base::Step::Queue));
+    cr_expect_not(isEjectedBy(base::ErrorCode::Draining, base::Step::Receive));
+}
+
 Test(ReplicaChooser, doesNotTrustEjectionOfMostReplicas)
 {
     Chooser chooser(4);
--- a/src/scenario/internal/vm.cpp
+++ b/src/scenario/internal/vm.cpp
@@ -13,7 +13,6 @@
 
     constexpr double UnlimitedQueries = 1e9;
     constexpr std::size_t QueueCapacity = 4'096;
-    constexpr base::Duration LongestSubRequest = std::chrono::seconds(2);
     constexpr base::Duration ReservationTimeout = std::chrono::milliseconds(500);
     constexpr std::uint64_t ReservationFingerprint = 1;
 
@@ -153,7 +152,7 @@
     active.askedShards.push_back(action.target.shard);
     const bool hasRanks = world_.settings.policy.hasRanks;
     transport::SubRequest request { action.id, action.upstream, hasRanks ? active.load.rank : base::Rank::Normal,
-        hasRanks ? active.load.caller : "all", std::min(active.deadline, now + LongestSubRequest), 0,
+        hasRanks ? active.load.caller : "all", std::min(active.deadline, now + transport::LongestSubRequest), 0,
         transport::SearchCall { action.target, "", world_.settings.shards } };
     const auto home = world_.homeOf(action.upstream);
     const auto fail = [this, number, id = action.id](RunState state) {
@@ -208,12 +207,7 @@
 void Vm::learnFromError(ActiveQuery& active, const Sent& sent, const Error& error)
 {
     const base::TimePoint now = world_.events.now();
-    const bool isUpstreamsFault = error.code == ErrorCode::UpstreamCrashed || error.code == ErrorCode::Unreachable
-        || (error.code == ErrorCode::DeadlineExceeded && error.step == Step::Receive);
-    if (isUpstreamsFault)
-        chooser_.onFailed(sent.upstream, active.load.rank, now);
-    else
-        chooser_.onReleased(sent.upstream, active.load.rank);
+    chooser_.onError(sent.upstream, active.load.rank, error, now);
     if (error.code == ErrorCode::Overloaded) {
         active.longestQueued = active.load.target;
         extraLoads_[base::indexOf(active.load.rank)].onShed(now);
--- a/src/traffic/internal/activequery.cpp
+++ b/src/traffic/internal/activequery.cpp
@@ -6,28 +6,6 @@
 using base::Error;
 using base::ErrorCode;
 
-namespace {
-
-    // Shorter than the hold-off of a home that takes over, so that nothing of the previous home still runs then.
-    constexpr base::Duration LongestSubRequest = std::chrono::seconds(2);
-
-    bool isEvidenceAgainstUpstream(const Error& error)
-    {
-        switch (error.code) {
-        case ErrorCode::Unreachable:
-        case ErrorCode::UpstreamCrashed:
-        case ErrorCode::ConnectionLost:
-        case ErrorCode::ProtocolViolation:
-            return true;
-        case ErrorCode::DeadlineExceeded:
-            return error.step == base::Step::Receive;
-        default:
-            return false;
-        }
-    }
-
-} // namespace
-
 ActiveQuery::ActiveQuery(TrafficContext& context, PoolState& pool, CallerRequest& request, const query::QuerySpec& spec,
     const std::string& text, std::uint64_t fingerprint)
     : context_(context)
@@ -120,7 +98,7 @@
         extraLoad_.onFirstAttempt();
     request_->note(action.isHedge ? EventKind::Hedged : EventKind::Sent, action.target.shard, action.upstream);
     transport::SubRequest subRequest { action.id, action.upstream, request_->route().rank, request_->caller(),
-        std::min(spec_.deadline, now + LongestSubRequest), fingerprint_,
+        std::min(spec_.deadline, now + transport::LongestSubRequest), fingerprint_,
         transport::SearchCall { action.target, text_, static_cast<std::uint32_t>(spec_.resultLimit) } };
     context_.dispatcher.submit(
         std::move(subRequest), [self = shared_from_this(), id = action.id](transport::SubResult result) {
@@ -173,10 +151,7 @@
 
 void ActiveQuery::learnFromError(const Sent& sent, const Error& error)
 {
-    if (isEvidenceAgainstUpstream(error))
-        context_.chooser.onFailed(sent.upstream, request_->route().rank, context_.now());
-    else
-        context_.chooser.onReleased(sent.upstream, request_->route().rank);
+    context_.chooser.onError(sent.upstream, request_->route().rank, error, context_.now());
     if (error.code == ErrorCode::Shed || error.code == ErrorCode::Overloaded) {
         longestQueued_ = std::max(longestQueued_, spec_.deadline - request_->receivedAt());
         extraLoad_.onShed(context_.now());
--- a/src/traffic/internal/servicehandler.cpp
+++ b/src/traffic/internal/servicehandler.cpp
@@ -174,12 +174,7 @@
     request.note(EventKind::Failed, 0, upstream, error);
     if (error.code == ErrorCode::UpstreamCrashed)
         context_.quarantine.onCrash(request.fingerprint(), context_.directory.at(upstream).name, context_.now());
-    const bool isUpstreamsFault = error.code == ErrorCode::Unreachable || error.code == ErrorCode::ConnectionLost
-        || error.code == ErrorCode::UpstreamCrashed;
-    if (isUpstreamsFault)
-        context_.chooser.onFailed(upstream, request.route().rank, context_.now());
-    else
-        context_.chooser.onReleased(upstream, request.route().rank);
+    context_.chooser.onError(upstream, request.route().rank, error, context_.now());
     return tl::unexpected(error);
 }
 
--- a/src/transport/types.h
+++ b/src/transport/types.h
@@ -15,6 +15,10 @@
 using query::SubRequestId;
 using query::UpstreamId;
 
+// Longest time given to one sub-request. Shorter than the hold-off of a home that takes over, so that nothing of the
+// previous home still runs then.
+constexpr base::Duration LongestSubRequest = std::chrono::seconds(2);
+
 // Search for a text in one shard of one index version.
 struct SearchCall {
     query::ServedShard target;
