--- a/src/query/query.cpp
+++ b/src/query/query.cpp
@@ -180,9 +180,12 @@
                 { error.code, error.step, error.peer, "the canary's upstream crashed", provedRunState() }, actions);
         return actions;
     }
+    const std::uint32_t restartsBefore = restarts_;
     retryShard(shard, now, actions);
-    // A canary that no replica answers for another reason says nothing against the request.
-    if (!isFinished_ && state.inFlight == 0)
+    // A canary that no replica answers for another reason says nothing against the request. After a restart the
+    // shards are those of another version, and their canary is on its way.
+    const bool isSameVersion = restarts_ == restartsBefore;
+    if (!isFinished_ && isSameVersion && shards_[shard].inFlight == 0)
         releaseHeldBack(now, actions);
     if (!isFinished_)
         finishIfSettled(now, actions);
--- a/src/query/snapshotcatalog.cpp
+++ b/src/query/snapshotcatalog.cpp
@@ -17,8 +17,7 @@
             return shard.version > 0 && shard.shard < shard.shards && shard.shards <= MaximumShards;
         });
         std::ranges::sort(possible);
-        const auto repeated = std::ranges::unique(possible);
-        possible.erase(repeated.begin(), repeated.end());
+        possible.erase(std::unique(possible.begin(), possible.end()), possible.end());
         return possible;
     }
 
