--- a/src/control/configurationwatcher.cpp
+++ b/src/control/configurationwatcher.cpp
@@ -26,7 +26,8 @@
         const auto* revision = object.if_contains("revision");
         const auto* routes = object.if_contains("routes");
         const auto* pools = object.if_contains("pools");
-        if (!revision || !revision->is_int64() || !routes || !routes->is_string() || !pools || !pools->is_string())
+        if (!revision || !revision->is_int64() || revision->get_int64() <= 0 || !routes || !routes->is_string()
+            || !pools || !pools->is_string())
             return std::nullopt;
         return PublishedTables { static_cast<tables::Revision>(revision->get_int64()),
             std::string(routes->get_string()), std::string(pools->get_string()) };
--- /dev/null
+++ b/src/traffic/tests/homesettests.cpp
@@ -0,0 +1,159 @@
+#include "traffic/homeset.h"
+
+#include "http/server.h"
+#include "runtime/fiberthread.h"
+#include "runtime/sleep.h"
+#include "transport/upstreamprotocol.h"
+
+#include <criterion/criterion.h>
+
+using namespace flamingousher;
+using namespace flamingousher::traffic;
+using base::Rank;
+using std::chrono::milliseconds;
+
+namespace {
+
+tables::Tables makeTables(std::uint16_t port)
+{
+    tables::Tables tables;
+    tables::Pool pool;
+    pool.name = "slings";
+    for (const char* name : { "own", "foreign" }) {
+        tables::Upstream upstream;
+        upstream.name = name;
+        upstream.pool = pool.name;
+        upstream.address = "127.0.0.1";
+        upstream.port = port;
+        upstream.slots = 2;
+        upstream.connections = 8;
+        pool.upstreams.push_back(upstream);
+    }
+    tables.pools.push_back(pool);
+    for (const Rank rank : { Rank::Urgent, Rank::Urgent, Rank::Background }) {
+        tables::Route route;
+        route.pool = pool.name;
+        route.rank = rank;
+        route.share = 0.25;
+        tables.routes.push_back(route);
+    }
+    return tables;
+}
+
+// A searcher that answers when it is let go, and the homes of a thread, on that thread.
+class Homes {
+public:
+    Homes(boost::asio::io_context& io, std::uint16_t port)
+        : io_(io)
+        , tables_(makeTables(port))
+        , server_(io, http::ServerLimits {},
+              [this](const http::Request& request, http::Exchange&) { return respond(request); })
+        , homes_(io, directory_, "boot",
+              { [] { return std::chrono::steady_clock::now(); },
+                  [](query::UpstreamId, const transport::UpstreamStatus&) {}, [](query::UpstreamId, std::uint64_t) {},
+                  [](const tables::Upstream& upstream) { return upstream; } })
+    {
+        server_.listen(http::Endpoint(boost::asio::ip::make_address("127.0.0.1"), port));
+    }
+
+    void own(const std::string& name)
+    {
+        homes_.apply(tables_, [&](const tables::Upstream& upstream) { return upstream.name == name; });
+    }
+
+    query::UpstreamId idOf(std::size_t index) { return directory_.idOf(tables_.pools[0].upstreams[index]); }
+
+    bool submit(query::UpstreamId upstream)
+    {
+        transport::SubRequest request;
+        request.id = ++lastId_;
+        request.upstream = upstream;
+        request.deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+        request.call = transport::SearchCall { { 1, 0, 1 }, "text", 10 };
+        transport::SubCallback callback
+            = [this](const transport::SubResult& result) { answered_ += result.value ? 1 : 0; };
+        return homes_.submit(request, callback);
+    }
+
+    bool waitUntil(const std::function<bool()>& isDone)
+    {
+        for (int round = 0; round < 10'000 && !isDone(); ++round)
+            runtime::sleepFor(io_, milliseconds(1));
+        return isDone();
+    }
+
+    boost::asio::io_context& io_;
+    tables::Tables tables_;
+    transport::UpstreamDirectory directory_;
+    http::Server server_;
+    HomeSet homes_;
+    bool isHeld_ { false };
+    int running_ { 0 };
+    int answered_ { 0 };
+    query::SubRequestId lastId_ { 0 };
+
+private:
+    http::Response respond(const http::Request& request)
+    {
+        if (request.target() == transport::StatusPath) {
+            return http::makeJsonResponse(request, http::Status::ok,
+                transport::encodeStatus(transport::UpstreamStatus { false, 0, { { 1, 0, 1 } } }));
+        }
+        ++running_;
+        waitUntil([this] { return !isHeld_; });
+        return http::makeJsonResponse(
+            request, http::Status::ok, transport::encodeSearchAnswer(query::SubAnswer { { 1, 0, 1 }, {} }));
+    }
+};
+
+} // namespace
+
+Test(HomeSet, sumsTheSharesOfRoutesByRank)
+{
+    const auto floors = floorsOf(makeTables(1), "slings");
+    cr_expect_eq(floors[base::indexOf(Rank::Urgent)], 0.5);
+    cr_expect_eq(floors[base::indexOf(Rank::Normal)], 0.0);
+    cr_expect_eq(floors[base::indexOf(Rank::Background)], 0.25);
+    cr_expect_eq(floorsOf(makeTables(1), "cartons")[base::indexOf(Rank::Urgent)], 0.0);
+}
+
+Test(HomeSet, takesWorkForItsOwnUpstreamsOnly)
+{
+    runtime::FiberThread thread("test");
+    const auto [own, foreign, answered] = thread.call([&] {
+        auto* homes = new Homes(thread.io(), 18401); // fibers refer to it until the process ends
+        homes->own("own");
+        const bool own = homes->submit(homes->idOf(0));
+        const bool foreign = homes->submit(homes->idOf(1));
+        homes->waitUntil([&] { return homes->answered_ == 1; });
+        return std::tuple(own, foreign, homes->answered_);
+    });
+    cr_expect(own);
+    cr_expect_not(foreign);
+    cr_expect_eq(answered, 1);
+}
+
+Test(HomeSet, endsWorkInFlightBeforeItGivesAnUpstreamUp)
+{
+    runtime::FiberThread thread("test");
+    const auto [closing, accepted, answered, closedLater] = thread.call([&] {
+        auto* homes = new Homes(thread.io(), 18402);
+        homes->own("own");
+        homes->isHeld_ = true;
+        homes->submit(homes->idOf(0));
+        homes->waitUntil([&] { return homes->running_ == 1; });
+        homes->own("foreign");
+        const auto closing = homes->homes_.closingUpstreams();
+        const bool accepted = homes->submit(homes->idOf(0));
+        homes->isHeld_ = false;
+        homes->waitUntil([&] {
+            homes->homes_.sweep();
+            return homes->homes_.closingUpstreams().empty();
+        });
+        return std::tuple(closing, accepted, homes->answered_, homes->homes_.closingUpstreams().empty());
+    });
+    cr_expect(closing == std::set<std::string>({ "own" }));
+    cr_expect_not(accepted);
+    cr_expect_eq(answered, 1);
+    cr_expect(closedLater);
+}
