Keep the home of an upstream within its region

Cause: when a zone had no node left, any node became the home of its upstreams. With regions that lose each other for minutes, several times a year, homes in other regions would claim upstreams that they cannot reach, and fail what is sent to them. Change: the zone first, then the region, then none: a query then goes to another replica at once, as "not run". A zone's region is learnt from its nodes and kept when they are lost. With one region nothing changes. Not shown: the loss of a whole region in a fleet of processes.

--- a/src/fleet/homeduties.cpp
+++ b/src/fleet/homeduties.cpp
@@ -29,6 +29,8 @@
 {
     view_ = alive;
     listed_ = listed;
+    for (const NodeInfo& node : view_)
+        regionOfZone_.insert_or_assign(node.zone, node.region);
     if (isLeaving_)
         std::erase_if(view_, [&](const NodeInfo& node) { return node.id == self_; });
     recompute(now);
@@ -92,13 +94,27 @@
 {
     std::vector<NodeInfo> others = view_;
     std::erase_if(others, [&](const NodeInfo& node) { return node.id == self_; });
-    const NodeInfo* previous = rendezvousNodeNear(others, key.upstream, key.zone);
+    const NodeInfo* previous = chooseHome(others, key);
     duty.previous = previous ? std::optional(*previous) : std::nullopt;
 }
 
 const NodeInfo* HomeDuties::homeOf(const HomeKey& key) const
 {
-    return rendezvousNodeNear(view_, key.upstream, key.zone);
+    return chooseHome(view_, key);
+}
+
+// A node in the upstream's zone; when that has none, a node of the same region. Another region would be far away, and
+// when the regions have lost each other it cannot reach the upstream at all. The region of a zone in which this node
+// has never seen a node is unknown: then any node will do.
+const NodeInfo* HomeDuties::chooseHome(const std::vector<NodeInfo>& nodes, const HomeKey& key) const
+{
+    const NodeInfo* inZone
+        = rendezvousNode(nodes, key.upstream, [&](const NodeInfo& node) { return node.zone == key.zone; });
+    if (inZone)
+        return inZone;
+    const auto region = regionOfZone_.find(key.zone);
+    return rendezvousNode(nodes, key.upstream,
+        [&](const NodeInfo& node) { return region == regionOfZone_.end() || node.region == region->second; });
 }
 
 void HomeDuties::suspend(base::TimePoint now)
--- a/src/fleet/homeduties.h
+++ b/src/fleet/homeduties.h
@@ -39,7 +39,7 @@
 };
 
 // Decides of which upstreams this node is the home. One node is the home of each upstream in any one view;
-// the rendezvous hash of the nodes in the upstream's zone chooses it. Performs no I/O.
+// the rendezvous hash of the nodes in the upstream's zone, or else its region, chooses it. Performs no I/O.
 class HomeDuties {
 public:
     HomeDuties(NodeId self, HomeDutySettings);
@@ -96,12 +96,14 @@
     void recompute(base::TimePoint now);
     Duty makeDuty(const HomeKey&, base::TimePoint now) const;
     void guessPrevious(const HomeKey&, Duty&) const;
+    const NodeInfo* chooseHome(const std::vector<NodeInfo>&, const HomeKey&) const;
 
     NodeId self_;
     HomeDutySettings settings_;
     std::vector<NodeInfo> view_;
     std::size_t listed_ { 0 };
     bool isLeaving_ { false };
+    std::map<std::string, std::string> regionOfZone_; // also of zones whose nodes are all lost
     std::vector<HomeKey> upstreams_;
     std::map<std::string, NodeInfo> homes_;
     std::map<std::string, Duty> duties_;
--- a/src/fleet/rendezvous.cpp
+++ b/src/fleet/rendezvous.cpp
@@ -33,26 +33,13 @@
     return best;
 }
 
-const NodeInfo* rendezvousNode(const std::vector<NodeInfo>& nodes, std::string_view key)
+const NodeInfo* rendezvousNode(
+    const std::vector<NodeInfo>& nodes, std::string_view key, const NodePredicate& isCandidate)
 {
     const NodeInfo* best = nullptr;
     std::uint64_t bestWeight = 0;
     for (const NodeInfo& node : nodes) {
-        const std::uint64_t weight = weigh(node, key);
-        if (!best || weight > bestWeight) {
-            best = &node;
-            bestWeight = weight;
-        }
-    }
-    return best;
-}
-
-const NodeInfo* rendezvousNodeNear(const std::vector<NodeInfo>& nodes, std::string_view key, std::string_view zone)
-{
-    const NodeInfo* best = nullptr;
-    std::uint64_t bestWeight = 0;
-    for (const NodeInfo& node : nodes) {
-        if (node.zone != zone)
+        if (!isCandidate(node))
             continue;
         const std::uint64_t weight = weigh(node, key);
         if (!best || weight > bestWeight) {
@@ -60,7 +47,7 @@
             bestWeight = weight;
         }
     }
-    return best ? best : rendezvousNode(nodes, key);
+    return best;
 }
 
 } // namespace flamingousher::fleet
--- a/src/fleet/rendezvous.h
+++ b/src/fleet/rendezvous.h
@@ -2,17 +2,18 @@
 
 #include "fleet/types.h"
 
+#include <functional>
 #include <string_view>
 #include <vector>
 
 namespace flamingousher::fleet {
 
-// The node with the highest hash of node and key (Thaler, Ravishankar 1998). Losing a node moves only what
-// that node had. Null when there is no node.
-const NodeInfo* rendezvousNode(const std::vector<NodeInfo>& nodes, std::string_view key);
+using NodePredicate = std::function<bool(const NodeInfo&)>;
 
-// The same among the nodes of one zone, or among all when the zone has none.
-const NodeInfo* rendezvousNodeNear(const std::vector<NodeInfo>& nodes, std::string_view key, std::string_view zone);
+// Of the nodes that the predicate accepts, the one with the highest hash of node and key (Thaler, Ravishankar 1998).
+// Losing a node moves only what that node had. Null when there is none.
+const NodeInfo* rendezvousNode(
+    const std::vector<NodeInfo>& nodes, std::string_view key, const NodePredicate& isCandidate);
 
 // The nodes with the highest hashes, best first, at most the given number.
 std::vector<const NodeInfo*> rendezvousNodes(
--- a/src/fleet/tests/homedutiestests.cpp
+++ b/src/fleet/tests/homedutiestests.cpp
@@ -11,9 +11,9 @@
 
 const base::TimePoint Start { std::chrono::hours(1) };
 
-NodeInfo node(const std::string& endpoint, const std::string& zone = "z")
+NodeInfo node(const std::string& endpoint, const std::string& zone = "z", const std::string& region = "r")
 {
-    return { { endpoint, 1 }, zone, "r", "", 1 };
+    return { { endpoint, 1 }, zone, region, "", 1 };
 }
 
 const std::vector<HomeKey> Keys { { "u0", "z" }, { "u1", "z" }, { "u2", "z" }, { "u3", "z" }, { "u4", "z" } };
@@ -34,6 +34,32 @@
     cr_expect_not_null(duties.homeOf({ "u", "elsewhere" }));
 }
 
+Test(HomeDuties, keepsAnUpstreamInItsRegionWhenItsZoneIsLost)
+{
+    HomeDuties duties({ "a", 1 }, {});
+    const std::vector<NodeInfo> all { node("a", "x", "north"), node("b", "y", "north"), node("c", "z", "south"),
+        node("d", "z", "south") };
+    duties.setView(all, 4, Start);
+    cr_expect_eq(duties.homeOf({ "u", "y" })->id.endpoint, "b");
+    duties.setView({ all[0], all[2], all[3] }, 4, Start + seconds(10));
+    for (const char* upstream : { "u0", "u1", "u2", "u3", "u4", "u5" })
+        cr_expect_eq(duties.homeOf({ upstream, "y" })->id.endpoint, "a");
+}
+
+Test(HomeDuties, hasNoHomeForARegionThatIsLost)
+{
+    HomeDuties duties({ "a", 1 }, {});
+    const std::vector<NodeInfo> all { node("a", "x", "north"), node("c", "z", "south") };
+    duties.setUpstreams({ { "near", "x" }, { "far", "z" } }, Start);
+    duties.setView(all, 2, Start);
+    duties.setView({ all[0] }, 2, Start + seconds(10));
+    cr_expect_null(duties.homeOf({ "far", "z" }));
+    cr_expect_not(duties.isOwn("far"));
+    cr_expect(duties.isOwn("near"));
+    duties.setView(all, 2, Start + seconds(20));
+    cr_expect_eq(duties.homeOf({ "far", "z" })->id.endpoint, "c");
+}
+
 Test(HomeDuties, waitsForTheHoldOffWithoutARelease)
 {
     HomeDuties duties({ "a", 1 }, {});
