Record a stopped VM that did not come back

Cause: not known. Once in eight runs of the process test, while the machine also ran the linter and builds, the process stopped for 12 s had ended when it was continued: no log line, no fault recorded by the kernel. Tried: 3 stops of 12 s with an edit meanwhile and 4 stops of 7 s under load: alive each time. Nothing is eased.

--- a/tests/process-test.sh
+++ b/tests/process-test.sh
@@ -138,6 +138,8 @@
 revision=$(publish 1600)
 sleep 12
 kill -CONT "${daemons[5]}"
+sleep 1
+kill -0 "${daemons[5]}" 2>/dev/null || { wait "${daemons[5]}"; echo "the stopped VM's process ended with status $?"; }
 check "a VM that was stopped for 12 s comes back" wait_ready 5
 check "the edit made meanwhile is in force everywhere" ctl --wait "$revision" config status
 check "the stopped VM noticed its pause" grep -q '"pauses_noticed":[1-9]' <(http GET "$(address 5):8090" /peers)
