Let one mechanism serve where several stood

Cause: a reading of the whole code. Opening a connection within a time stood in four places, closing a stream when an exchange takes too long in five, the accept loop in three, of which the fleet's did not pause on errors and would spin without file descriptors. Draining was decided in three places, the upstreams that are being closed came back two ways, callers' header fields and the route's lookup stood twice. Change: runtime has connectWithin(), Timeout and acceptEach(); callers' fields one header; drained upstreams, closing upstreams and a request's destination one function each; a gate has default settings, so that PoolState needs no source file; the benchmarks share one quantile. Names without a use are gone.

--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -292,7 +292,7 @@
 
 double measureGate(std::size_t callers)
 {
-    admission::Gate gate({});
+    admission::Gate gate;
     base::TimePoint now = Start;
     return nanosecondsPerCall(200'000, [&](std::size_t call) {
         now += std::chrono::microseconds(10);
--- a/bench/fanout/main.cpp
+++ b/bench/fanout/main.cpp
@@ -1,4 +1,5 @@
 #include "http/client.h"
+#include "quantile.h"
 #include "runtime/fiberthread.h"
 #include "runtime/signal.h"
 #include "runtime/usefiber.h"
@@ -102,10 +103,9 @@
 Result summarise(std::vector<double>& latenciesMs, double seconds, double cpuSeconds)
 {
     std::ranges::sort(latenciesMs);
-    const auto quantile
-        = [&](double fraction) { return latenciesMs[static_cast<std::size_t>(fraction * (latenciesMs.size() - 1))]; };
     const double count = static_cast<double>(latenciesMs.size());
-    return { count / seconds, quantile(0.5), quantile(0.99), 1e6 * cpuSeconds / (count * FLAGS_shards) };
+    return { count / seconds, quantile(latenciesMs, 0.5), quantile(latenciesMs, 0.99),
+        1e6 * cpuSeconds / (count * FLAGS_shards) };
 }
 
 // Runs the given number of workers, each in a fiber, until all queries are done.
--- a/bench/load/main.cpp
+++ b/bench/load/main.cpp
@@ -1,4 +1,5 @@
 #include "http/client.h"
+#include "quantile.h"
 #include "runtime/fiberthread.h"
 #include "runtime/sleep.h"
 
@@ -163,11 +164,8 @@
     void print()
     {
         std::ranges::sort(latenciesMs_);
-        const auto quantile = [&](double fraction) {
-            return latenciesMs_.empty() ? 0
-                                        : latenciesMs_[static_cast<std::size_t>(fraction * (latenciesMs_.size() - 1))];
-        };
-        boost::json::object document { { "p50_ms", quantile(0.5) }, { "p99_ms", quantile(0.99) } };
+        boost::json::object document { { "p50_ms", quantile(latenciesMs_, 0.5) },
+            { "p99_ms", quantile(latenciesMs_, 0.99) } };
         for (const char* name : { "complete", "partial", "cut", "not_connected", "reserved" })
             document[name] = 0;
         for (const auto& [name, count] : counts_)
--- a/bench/policy/main.cpp
+++ b/bench/policy/main.cpp
@@ -1,3 +1,4 @@
+#include "quantile.h"
 #include "scenario/scenario.h"
 
 #include <gflags/gflags.h>
@@ -65,11 +66,6 @@
     return Replicas * deployment.slots * perSlot;
 }
 
-double quantile(const std::vector<double>& sorted, double fraction)
-{
-    return sorted.empty() ? 0 : sorted[static_cast<std::size_t>(fraction * static_cast<double>(sorted.size() - 1))];
-}
-
 Figures summarise(const Settings& settings, const History& history)
 {
     Figures figures;
--- a/src/accounts/requestrecord.cpp
+++ b/src/accounts/requestrecord.cpp
@@ -25,8 +25,6 @@
         return "failed";
     case EventKind::Cancelled:
         return "cancelled";
-    case EventKind::Restarted:
-        return "restarted";
     case EventKind::Finished:
         return "finished";
     }
--- a/src/accounts/requestrecord.h
+++ b/src/accounts/requestrecord.h
@@ -20,7 +20,6 @@
     Answered,
     Failed,
     Cancelled,
-    Restarted,
     Finished,
 };
 
--- a/src/admission/gate.h
+++ b/src/admission/gate.h
@@ -15,7 +15,7 @@
 // share because of other callers.
 class Gate {
 public:
-    explicit Gate(GateSettings);
+    explicit Gate(GateSettings = {});
 
     Decision request(TicketId, const std::string& caller, base::TimePoint deadline, base::TimePoint now);
 
--- a/src/control/fleetcontroller.cpp
+++ b/src/control/fleetcontroller.cpp
@@ -116,7 +116,8 @@
     const std::set<std::string> serving = servingUpstreams();
     if (std::exchange(areHomesNew_, false) || serving != lastServing_) {
         lastServing_ = serving;
-        closing_ = hooks_.onHomes(*this);
+        hooks_.onHomes(*this);
+        closing_ = hooks_.closingUpstreams();
     }
 }
 
--- a/src/control/fleetcontroller.h
+++ b/src/control/fleetcontroller.h
@@ -24,9 +24,10 @@
     struct Hooks {
         std::function<void(const std::shared_ptr<const tables::Tables>&)> onTables;
 
-        // The homes, their shares or the leaving VMs have changed. Returns the upstreams that are no longer
-        // served here but have work in flight.
-        std::function<std::set<std::string>(const FleetController&)> onHomes;
+        // The homes, their shares or the leaving VMs have changed.
+        std::function<void(const FleetController&)> onHomes;
+
+        // Upstreams that are no longer served here but have work in flight.
         std::function<std::set<std::string>()> closingUpstreams;
         std::function<void(const fleet::CrashEvidence&)> onCrash;
     };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -76,7 +76,7 @@
             for (const auto& thread : traffic_)
                 thread->applyTables(tables);
         },
-        [this](const control::FleetController& fleet) { return applyHomes(fleet); },
+        [this](const control::FleetController& fleet) { applyHomes(fleet); },
         [this] { return closingUpstreams(); },
         [this](const fleet::CrashEvidence& evidence) {
             for (const auto& thread : traffic_)
@@ -85,15 +85,13 @@
     };
 }
 
-std::set<std::string> Daemon::applyHomes(const control::FleetController& fleet)
+void Daemon::applyHomes(const control::FleetController& fleet)
 {
     const auto view = std::make_shared<const traffic::HomeView>(
         traffic::HomeView { fleet.core().homes().homes(), fleet.servingUpstreams(), fleet.core().seenForShare(),
             fleet.core().listedForShare(), fleet.core().membership().aliveNodes(), fleet.leavingAddresses() });
-    std::set<std::string> closing;
     for (const auto& thread : traffic_)
-        closing.merge(thread->applyHomes(view));
-    return closing;
+        thread->applyHomes(view);
 }
 
 std::set<std::string> Daemon::closingUpstreams()
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -27,7 +27,7 @@
 private:
     control::FleetController::Hooks makeFleetHooks();
     control::OperatorHooks makeOperatorHooks();
-    std::set<std::string> applyHomes(const control::FleetController&);
+    void applyHomes(const control::FleetController&);
     std::set<std::string> closingUpstreams();
     std::optional<accounts::RequestRecord> findRecord(const std::string& id);
     metrics::Snapshot collectMetrics();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -22,7 +22,6 @@
 
     constexpr std::chrono::seconds RequestReadTimeout { 10 };
     constexpr std::chrono::seconds ResponseWriteTimeout { 30 };
-    constexpr std::chrono::milliseconds AcceptPauseOnError { 10 };
 
     std::string describe(const tcp::socket& socket)
     {
@@ -91,7 +90,9 @@
     if (const error_code error = runtime::listenOn(*acceptor, endpoint, isShared))
         return error;
     acceptor_ = acceptor;
-    runtime::spawnFiber([state = state_, acceptor] { acceptLoop(state, acceptor); });
+    runtime::spawnFiber([state = state_, acceptor] {
+        runtime::acceptEach(*acceptor, [&](tcp::socket socket) { accept(state, std::move(socket)); });
+    });
     return {};
 }
 
@@ -100,28 +101,19 @@
     return acceptor_->local_endpoint();
 }
 
-void Server::acceptLoop(const std::shared_ptr<State>& state, const std::shared_ptr<tcp::acceptor>& acceptor)
+void Server::accept(const std::shared_ptr<State>& state, tcp::socket socket)
 {
-    while (!state->isStopping) {
-        error_code error;
-        tcp::socket socket = acceptor->async_accept(useFiber[error]);
-        if (state->isStopping || error == boost::asio::error::operation_aborted)
-            return;
-        if (error) {
-            // For example: out of file descriptors. Connections in progress must be able to end first.
-            boost::asio::steady_timer pause(acceptor->get_executor(), AcceptPauseOnError);
-            pause.async_wait(useFiber[error]);
-            continue;
-        }
-        if (state->counters.open >= state->limits.connections) {
-            ++state->counters.refusedConnections;
-            continue;
-        }
-        ++state->counters.accepted;
-        socket.set_option(tcp::no_delay(true), error);
-        auto stream = std::make_shared<Stream>(std::move(socket));
-        runtime::spawnFiber([state, stream] { runSession(state, std::move(*stream)); });
+    if (state->isStopping)
+        return;
+    if (state->counters.open >= state->limits.connections) {
+        ++state->counters.refusedConnections;
+        return;
     }
+    ++state->counters.accepted;
+    error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto stream = std::make_shared<Stream>(std::move(socket));
+    runtime::spawnFiber([state, stream] { runSession(state, std::move(*stream)); });
 }
 
 void Server::runSession(const std::shared_ptr<State>& state, Stream stream)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -42,7 +42,7 @@
         std::unordered_set<Stream*> idleStreams;
     };
 
-    static void acceptLoop(const std::shared_ptr<State>&, const std::shared_ptr<boost::asio::ip::tcp::acceptor>&);
+    static void accept(const std::shared_ptr<State>&, boost::asio::ip::tcp::socket);
     static void runSession(const std::shared_ptr<State>&, Stream);
     static bool serveOne(State&, Stream&, boost::beast::flat_buffer&);
     static void refuseMalformed(State&, Stream&, const boost::system::error_code&);
--- a/src/peers/fleettransport.cpp
+++ b/src/peers/fleettransport.cpp
@@ -1,14 +1,14 @@
 #include "peers/fleettransport.h"
 
 #include "http/client.h"
+#include "runtime/connect.h"
 #include "runtime/fiberthread.h"
 #include "runtime/listen.h"
+#include "runtime/timeout.h"
 #include "runtime/usefiber.h"
 #include "wire/codec.h"
 #include "wire/mac.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <cstring>
 
 namespace flamingousher::peers {
@@ -30,16 +30,6 @@
             || std::holds_alternative<fleet::PingRequest>(message);
     }
 
-    // Closes the stream when an exchange over it takes too long.
-    void closeLater(boost::asio::steady_timer& timer, const std::shared_ptr<FrameStream>& stream)
-    {
-        timer.expires_after(FrameTimeout);
-        timer.async_wait([stream](const error_code& error) {
-            if (!error)
-                stream->close();
-        });
-    }
-
 } // namespace
 
 FleetTransport::FleetTransport(
@@ -65,7 +55,12 @@
     if (error)
         return error;
     runtime::spawnFiber([this] { receiveDatagrams(); });
-    runtime::spawnFiber([this] { acceptConnections(); });
+    runtime::spawnFiber([this] {
+        runtime::acceptEach(acceptor_, [this](tcp::socket accepted) {
+            auto socket = std::make_shared<tcp::socket>(std::move(accepted));
+            runtime::spawnFiber([this, socket] { receiveFrame(std::move(*socket)); });
+        });
+    });
     return {};
 }
 
@@ -97,30 +92,16 @@
     }
 }
 
-void FleetTransport::acceptConnections()
-{
-    for (;;) {
-        error_code error;
-        auto socket = std::make_shared<tcp::socket>(acceptor_.async_accept(useFiber[error]));
-        if (error == boost::asio::error::operation_aborted)
-            return;
-        if (!error)
-            runtime::spawnFiber([this, socket] { receiveFrames(std::move(*socket)); });
-    }
-}
-
-void FleetTransport::receiveFrames(tcp::socket socket)
+void FleetTransport::receiveFrame(tcp::socket socket)
 {
     const auto stream = std::make_shared<FrameStream>(std::move(socket), identity_, counters_);
-    boost::asio::steady_timer timer(io_);
-    closeLater(timer, stream);
+    const runtime::Timeout timeout(io_, FrameTimeout, [&] { stream->close(); });
     if (stream->handshake(false, random_())) {
         const auto content = stream->receive();
         const auto* message = content ? std::get_if<fleet::FleetMessage>(&*content) : nullptr;
         if (message)
             receiver_(*message);
     }
-    timer.cancel();
     stream->close();
 }
 
@@ -154,24 +135,15 @@
 void FleetTransport::sendFrame(const http::Endpoint& endpoint, const fleet::FleetMessage& message)
 {
     runtime::spawnFiber([this, endpoint, message] {
-        auto socket = std::make_shared<tcp::socket>(io_);
-        boost::asio::steady_timer timer(io_, FrameTimeout);
-        timer.async_wait([socket](const error_code& error) {
-            if (!error)
-                socket->close();
-        });
-        error_code error;
-        socket->async_connect(endpoint, useFiber[error]);
-        timer.cancel();
-        if (error || !socket->is_open())
+        auto socket = runtime::connectWithin(io_, endpoint, FrameTimeout);
+        if (!socket)
             return;
-        const auto stream = std::make_shared<FrameStream>(std::move(*socket), identity_, counters_);
-        closeLater(timer, stream);
+        const auto stream = std::make_shared<FrameStream>(*std::move(socket), identity_, counters_);
+        const runtime::Timeout timeout(io_, FrameTimeout, [&] { stream->close(); });
         if (stream->handshake(true, random_()) && stream->send(message)) {
             // Waits until the other side has read the frame and closed.
             static_cast<void>(stream->receive());
         }
-        timer.cancel();
         stream->close();
     });
 }
--- a/src/peers/fleettransport.h
+++ b/src/peers/fleettransport.h
@@ -29,8 +29,7 @@
 
 private:
     void receiveDatagrams();
-    void acceptConnections();
-    void receiveFrames(boost::asio::ip::tcp::socket);
+    void receiveFrame(boost::asio::ip::tcp::socket);
     void sendDatagram(const http::Endpoint&, const fleet::FleetMessage&);
     void sendFrame(const http::Endpoint&, const fleet::FleetMessage&);
 
--- a/src/peers/peerlink.cpp
+++ b/src/peers/peerlink.cpp
@@ -1,10 +1,10 @@
 #include "peers/peerlink.h"
 
 #include "http/client.h"
+#include "runtime/connect.h"
 #include "runtime/fiberthread.h"
-#include "runtime/usefiber.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "runtime/sleep.h"
+#include "runtime/timeout.h"
 
 #include <algorithm>
 
@@ -14,9 +14,6 @@
 using base::ErrorCode;
 using base::RunState;
 using base::Step;
-using boost::asio::ip::tcp;
-using boost::system::error_code;
-using runtime::useFiber;
 
 namespace {
 
@@ -88,9 +85,7 @@
         const std::shared_ptr<FrameStream> stream = self->connect();
         if (!stream) {
             self->failAll("the home cannot be reached");
-            boost::asio::steady_timer timer(self->io_, ReconnectPause);
-            error_code ignored;
-            timer.async_wait(useFiber[ignored]);
+            runtime::sleepFor(self->io_, ReconnectPause);
             continue;
         }
         self->stream_ = stream;
@@ -108,26 +103,12 @@
 
 std::shared_ptr<FrameStream> PeerLink::connect()
 {
-    auto socket = std::make_shared<tcp::socket>(io_);
-    boost::asio::steady_timer timer(io_, ConnectTimeout);
-    const auto closeSocket = [socket](const error_code& error) {
-        if (!error)
-            socket->close();
-    };
-    timer.async_wait(closeSocket);
-    error_code error;
-    socket->async_connect(endpoint_, useFiber[error]);
-    timer.cancel();
-    if (error || !socket->is_open())
+    auto socket = runtime::connectWithin(io_, endpoint_, ConnectTimeout);
+    if (!socket)
         return nullptr;
-    auto stream = std::make_shared<FrameStream>(std::move(*socket), identity_, counters_);
-    timer.expires_after(ConnectTimeout);
-    timer.async_wait([stream](const error_code& failure) {
-        if (!failure)
-            stream->close();
-    });
+    auto stream = std::make_shared<FrameStream>(*std::move(socket), identity_, counters_);
+    const runtime::Timeout timeout(io_, ConnectTimeout, [&] { stream->close(); });
     const auto hello = stream->handshake(true, hooks_.random());
-    timer.cancel();
     return hello ? stream : nullptr;
 }
 
--- a/src/peers/peerlink.h
+++ b/src/peers/peerlink.h
@@ -43,7 +43,6 @@
 
     std::size_t outstanding() const { return outstanding_.size(); }
     bool isConnected() const { return stream_ != nullptr; }
-    const http::Endpoint& endpoint() const { return endpoint_; }
 
 private:
     struct Outstanding {
--- a/src/peers/peerserver.cpp
+++ b/src/peers/peerserver.cpp
@@ -2,21 +2,17 @@
 
 #include "runtime/fiberthread.h"
 #include "runtime/listen.h"
-#include "runtime/usefiber.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "runtime/timeout.h"
 
 namespace flamingousher::peers {
 
 using boost::asio::ip::tcp;
 using boost::system::error_code;
-using runtime::useFiber;
 
 namespace {
 
     constexpr base::Duration HeartbeatInterval = std::chrono::milliseconds(300);
     constexpr std::chrono::milliseconds HandshakeTimeout { 1'000 };
-    constexpr std::chrono::milliseconds AcceptPauseOnError { 10 };
 
 } // namespace
 
@@ -33,38 +29,23 @@
 {
     const error_code error = runtime::listenOn(acceptor_, endpoint);
     if (!error)
-        runtime::spawnFiber([this] { acceptLoop(); });
+        runtime::spawnFiber([this] {
+            runtime::acceptEach(acceptor_, [this](tcp::socket socket) {
+                auto shared = std::make_shared<tcp::socket>(std::move(socket));
+                runtime::spawnFiber([this, shared] { runSession(std::move(*shared)); });
+            });
+        });
     return error;
 }
 
-void PeerServer::acceptLoop()
-{
-    for (;;) {
-        error_code error;
-        tcp::socket socket = acceptor_.async_accept(useFiber[error]);
-        if (error == boost::asio::error::operation_aborted)
-            return;
-        if (error) {
-            boost::asio::steady_timer pause(io_, AcceptPauseOnError);
-            pause.async_wait(useFiber[error]);
-            continue;
-        }
-        auto shared = std::make_shared<tcp::socket>(std::move(socket));
-        runtime::spawnFiber([this, shared] { runSession(std::move(*shared)); });
-    }
-}
-
 void PeerServer::runSession(tcp::socket socket)
 {
     const auto session = std::make_shared<Session>();
     session->stream = std::make_shared<FrameStream>(std::move(socket), identity_, counters_);
-    boost::asio::steady_timer timer(io_, HandshakeTimeout);
-    timer.async_wait([stream = session->stream](const error_code& error) {
-        if (!error)
-            stream->close();
-    });
-    const auto hello = session->stream->handshake(false, hooks_.random());
-    timer.cancel();
+    const auto hello = [&] {
+        const runtime::Timeout timeout(io_, HandshakeTimeout, [&] { session->stream->close(); });
+        return session->stream->handshake(false, hooks_.random());
+    }();
     if (!hello) {
         session->stream->close();
         return;
--- a/src/peers/peerserver.h
+++ b/src/peers/peerserver.h
@@ -43,8 +43,6 @@
     // Sends a heartbeat to nodes that wait for results.
     void sweep();
 
-    std::size_t connectionCount() const { return sessions_.size(); }
-
 private:
     struct Session {
         std::shared_ptr<FrameStream> stream;
@@ -56,7 +54,6 @@
         bool isClosed { false };
     };
 
-    void acceptLoop();
     void runSession(boost::asio::ip::tcp::socket);
     void writeLoop(const std::shared_ptr<Session>&);
     void accept(const std::shared_ptr<Session>&, wire::Batch&&);
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -8,7 +8,6 @@
 #include <set>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace flamingousher::quarantine {
 
--- a/src/query/replicachooser.h
+++ b/src/query/replicachooser.h
@@ -13,7 +13,7 @@
 // failures. Health and load endpoints have no say.
 class ReplicaChooser {
 public:
-    // random: uniform numbers below the argument. nearness: factor of at least 1 for far zones.
+    // random: uniform numbers below the argument. distance: factor of at least 1 for far zones.
     struct Hooks {
         std::function<std::size_t(std::size_t bound)> random;
         std::function<double(UpstreamId)> distance;
@@ -55,7 +55,6 @@
         std::uint32_t answers { 0 };
         bool isDraining { false };
         base::TimePoint ejectedUntil;
-        base::TimePoint usableSince;
     };
 
     Stats& stats(UpstreamId);
--- a/src/runtime/listen.cpp
+++ b/src/runtime/listen.cpp
@@ -1,11 +1,21 @@
 #include "runtime/listen.h"
 
+#include "runtime/usefiber.h"
+
+#include <boost/asio/steady_timer.hpp>
+
 #include <sys/socket.h>
 
 namespace flamingousher::runtime {
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+    constexpr std::chrono::milliseconds AcceptPauseOnError { 10 };
+
+} // namespace
+
 boost::system::error_code listenOn(tcp::acceptor& acceptor, const tcp::endpoint& endpoint, bool isShared)
 {
     boost::system::error_code error;
@@ -23,4 +33,21 @@
     return error;
 }
 
+void acceptEach(tcp::acceptor& acceptor, const std::function<void(tcp::socket)>& onAccepted)
+{
+    while (acceptor.is_open()) {
+        boost::system::error_code error;
+        tcp::socket socket = acceptor.async_accept(useFiber[error]);
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        if (!error) {
+            onAccepted(std::move(socket));
+            continue;
+        }
+        // For example: out of file descriptors. Connections in progress must be able to end first.
+        boost::asio::steady_timer pause(acceptor.get_executor(), AcceptPauseOnError);
+        pause.async_wait(useFiber[error]);
+    }
+}
+
 } // namespace flamingousher::runtime
--- a/src/runtime/listen.h
+++ b/src/runtime/listen.h
@@ -2,10 +2,15 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <functional>
+
 namespace flamingousher::runtime {
 
 // Opens, binds and begins to listen. With sharing, several threads may listen on the same endpoint.
 boost::system::error_code listenOn(
     boost::asio::ip::tcp::acceptor&, const boost::asio::ip::tcp::endpoint&, bool isShared = false);
 
+// Hands each accepted connection over, in the calling fiber, until the acceptor is closed.
+void acceptEach(boost::asio::ip::tcp::acceptor&, const std::function<void(boost::asio::ip::tcp::socket)>& onAccepted);
+
 } // namespace flamingousher::runtime
--- a/src/runtime/tests/fiberthreadtests.cpp
+++ b/src/runtime/tests/fiberthreadtests.cpp
@@ -1,4 +1,8 @@
+#include "runtime/connect.h"
 #include "runtime/fiberthread.h"
+#include "runtime/listen.h"
+#include "runtime/sleep.h"
+#include "runtime/timeout.h"
 #include "runtime/usefiber.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -116,3 +120,56 @@
     });
     cr_expect_eq(echoed, Connections);
 }
+
+Test(Timeout, callsOnceWhenItExpiresAndNeverAfterItsEnd)
+{
+    FiberThread thread("test");
+    const auto [expired, ended] = thread.call([&] {
+        int expired = 0;
+        int ended = 0;
+        const Timeout waited(thread.io(), std::chrono::milliseconds(5), [&] { ++expired; });
+        {
+            const Timeout left(thread.io(), std::chrono::milliseconds(1), [&] { ++ended; });
+            // Blocks the thread, so that the timer has expired before it is cancelled.
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        }
+        sleepFor(thread.io(), std::chrono::milliseconds(50));
+        return std::pair(expired, ended);
+    });
+    cr_expect_eq(expired, 1);
+    cr_expect_eq(ended, 0);
+}
+
+Test(Connect, tellsWhyItFailed)
+{
+    FiberThread thread("test");
+    const auto error = thread.call([&] {
+        return connectWithin(thread.io(), { boost::asio::ip::make_address("127.0.0.1"), 1 }, std::chrono::seconds(5))
+            .error();
+    });
+    cr_expect(error == boost::asio::error::connection_refused);
+}
+
+Test(AcceptEach, endsWhenTheAcceptorIsClosed)
+{
+    FiberThread thread("test");
+    const auto [accepted, didEnd] = thread.call([&] {
+        tcp::acceptor acceptor(thread.io());
+        cr_assert_not(listenOn(acceptor, { boost::asio::ip::make_address("127.0.0.1"), 18501 }));
+        int accepted = 0;
+        bool didEnd = false;
+        spawnFiber([&] {
+            acceptEach(acceptor, [&](const tcp::socket&) { ++accepted; });
+            didEnd = true;
+        });
+        for (int count = 0; count < 3; ++count)
+            cr_assert(connectWithin(thread.io(), acceptor.local_endpoint(), std::chrono::seconds(5)).has_value());
+        for (int round = 0; round < 1'000 && accepted < 3; ++round)
+            sleepFor(thread.io(), std::chrono::milliseconds(1));
+        acceptor.close();
+        sleepFor(thread.io(), std::chrono::milliseconds(20));
+        return std::pair(accepted, didEnd);
+    });
+    cr_expect_eq(accepted, 3);
+    cr_expect(didEnd);
+}
--- a/src/traffic/internal/callerrequest.cpp
+++ b/src/traffic/internal/callerrequest.cpp
@@ -1,5 +1,7 @@
 #include "traffic/internal/callerrequest.h"
 
+#include "traffic/callerprotocol.h"
+
 #include <boost/json.hpp>
 
 #include <xxhash.h>
@@ -15,9 +17,6 @@
 
 namespace {
 
-    constexpr std::string_view CallerField = "Flamingousher-Caller";
-    constexpr std::string_view DeadlineField = "Flamingousher-Deadline-Ms";
-
     // An answer that took more than this fraction of its route's target is kept as slow.
     constexpr double SlowFraction = 0.5;
 
@@ -34,7 +33,7 @@
 
     base::Duration timeAllowed(const http::Request& request, const tables::Route& route)
     {
-        const std::string text = fieldOr(request, DeadlineField, {});
+        const std::string text = fieldOr(request, field::DeadlineMs, {});
         std::int64_t milliseconds = 0;
         const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
         if (text.empty() || error != std::errc())
@@ -82,7 +81,7 @@
     : context_(context)
     , route_(route)
     , id_(context.incarnation + "-" + std::to_string(context.nextId()))
-    , caller_(fieldOr(request, CallerField, addressOf(peer)))
+    , caller_(fieldOr(request, field::Caller, addressOf(peer)))
     , receivedAt_(context.now())
     , deadline_(receivedAt_ + timeAllowed(request, route))
     , fingerprint_(fingerprintOf(request))
--- a/src/traffic/internal/servicehandler.cpp
+++ b/src/traffic/internal/servicehandler.cpp
@@ -1,6 +1,7 @@
 #include "traffic/internal/servicehandler.h"
 
 #include "runtime/signal.h"
+#include "traffic/callerprotocol.h"
 
 #include <boost/json.hpp>
 
@@ -14,9 +15,6 @@
 
 namespace {
 
-    constexpr std::string_view IdentityField = "Flamingousher-Identity";
-    constexpr std::string_view NextIdentityField = "Flamingousher-Next-Identity";
-
     Error identityError(ErrorCode code, const char* detail, RunState state)
     {
         return { code, Step::Identity, {}, detail, state };
@@ -24,7 +22,7 @@
 
     transport::ServiceCall makeCall(const http::Request& request, const CallerRequest& callerRequest)
     {
-        const auto identity = request.find(std::string(IdentityField));
+        const auto identity = request.find(std::string(field::Identity));
         const bool isNeeded = !callerRequest.route().isIdempotent && identity != request.end();
         return { std::string(request.method_string()), std::string(request.target()),
             std::string(request[boost::beast::http::field::content_type]), request.body(),
@@ -59,7 +57,7 @@
             identityError(
                 ErrorCode::IdentityRequired, "send the request with the identity in the header", RunState::NotRun));
         if (const auto identity = context_.identities.issue(context_.now()))
-            response.set(std::string(NextIdentityField), *identity);
+            response.set(std::string(field::NextIdentity), *identity);
         return response;
     }
     return respond(request, callerRequest, runWithIdentity(callerRequest, pool, call));
--- a/src/traffic/internal/trafficstate.cpp
+++ b/src/traffic/internal/trafficstate.cpp
@@ -165,13 +165,22 @@
     const std::shared_ptr<PoolState> pool = context.pool(upstream.pool);
     if (!pool)
         return;
-    const bool isDraining
-        = status.isDraining || upstream.state == tables::UpstreamState::Draining || isLeaving(upstream);
     pool->catalog.setServed(id, status.served);
-    pool->catalog.setUsable(id, !isDraining);
+    setDraining(*pool, id, status.isDraining || isDrained(upstream));
+}
+
+void TrafficThread::State::setDraining(PoolState& pool, query::UpstreamId id, bool isDraining)
+{
+    pool.catalog.setUsable(id, !isDraining);
     context.chooser.setDraining(id, isDraining);
 }
 
+// By the tables or the platform's list. An upstream's own word comes with its status.
+bool TrafficThread::State::isDrained(const tables::Upstream& upstream) const
+{
+    return upstream.state == tables::UpstreamState::Draining || isLeaving(upstream);
+}
+
 bool TrafficThread::State::isLeaving(const tables::Upstream& upstream) const
 {
     return view && view->leavingAddresses.contains(upstream.address);
@@ -202,11 +211,8 @@
             const query::UpstreamId id = context.directory.idOf(upstream);
             idsByName[upstream.name] = id;
             state.upstreams.push_back(id);
-            const bool isDraining = upstream.state == tables::UpstreamState::Draining || isLeaving(upstream);
-            if (isDraining) {
-                state.catalog.setUsable(id, false);
-                context.chooser.setDraining(id, true);
-            }
+            if (isDrained(upstream))
+                setDraining(state, id, true);
         }
         for (query::UpstreamId id : before) {
             if (std::ranges::find(state.upstreams, id) == state.upstreams.end())
@@ -224,11 +230,10 @@
         const fleet::NodeInfo* home = homeOf(upstream.name);
         return home && view->serving.contains(upstream.name) && isHere(upstream.name, *home);
     });
-    for (const auto& [name, id] : idsByName) {
-        if (isLeaving(context.directory.at(id))) {
-            context.chooser.setDraining(id, true);
-            if (const auto pool = context.pool(context.directory.at(id).pool))
-                pool->catalog.setUsable(id, false);
+    for (const auto& [name, pool] : context.pools) {
+        for (query::UpstreamId id : pool->upstreams) {
+            if (isLeaving(context.directory.at(id)))
+                setDraining(*pool, id, true);
         }
     }
     refreshLinks();
--- a/src/traffic/internal/trafficstate.h
+++ b/src/traffic/internal/trafficstate.h
@@ -39,6 +39,8 @@
     void applyPools(const tables::Tables&);
     void refreshLinks();
     void noteStatus(query::UpstreamId, const transport::UpstreamStatus&);
+    void setDraining(PoolState&, query::UpstreamId, bool isDraining);
+    bool isDrained(const tables::Upstream&) const;
     bool isLeaving(const tables::Upstream&) const;
     const fleet::NodeInfo* homeOf(const std::string& upstream) const;
     std::uint32_t threadOf(const std::string& upstream, const fleet::NodeInfo& home) const;
--- a/src/traffic/poolstate.h
+++ b/src/traffic/poolstate.h
@@ -12,8 +12,6 @@
 
 // What one traffic thread knows and has learned of one pool.
 struct PoolState {
-    PoolState();
-
     tables::Pool pool;
     std::vector<query::UpstreamId> upstreams;
     query::SnapshotCatalog catalog;
--- a/src/traffic/requesthandler.cpp
+++ b/src/traffic/requesthandler.cpp
@@ -1,19 +1,18 @@
 #include "traffic/requesthandler.h"
 
+#include "traffic/callerprotocol.h"
 #include "traffic/internal/callerrequest.h"
 #include "traffic/internal/searchhandler.h"
 #include "traffic/internal/servicehandler.h"
 
 namespace flamingousher::traffic {
 
-using base::Error;
 using base::ErrorCode;
 using base::Step;
 
 namespace {
 
     constexpr std::string_view IdentitiesPath = "/flamingousher/identities";
-    const std::string NoRoute = "none";
 
 } // namespace
 
@@ -26,24 +25,30 @@
 
 RequestHandler::~RequestHandler() = default;
 
+RequestHandler::Destination RequestHandler::findDestination(const http::Request& request, const std::string& path) const
+{
+    if (!context_.tables)
+        return {};
+    const tables::Route* route = context_.tables->routeFor(std::string(request.method_string()), path);
+    return route ? Destination { *route, context_.pool(route->pool) } : Destination {};
+}
+
 http::Response RequestHandler::handle(const http::Request& request, http::Exchange& exchange)
 {
-    const std::shared_ptr<const tables::Tables> tables = context_.tables;
     const std::string path = http::parseTarget({ request.target().data(), request.target().size() }).path;
     if (path == IdentitiesPath && request.method() == boost::beast::http::verb::post)
         return service_->issueIdentity(request);
-    const tables::Route* route = tables ? tables->routeFor(std::string(request.method_string()), path) : nullptr;
-    CallerRequest callerRequest(context_, request, exchange.peer, route ? *route : tables::Route { .name = NoRoute });
-    if (!tables) {
+    const Destination destination = findDestination(request, path);
+    CallerRequest callerRequest(context_, request, exchange.peer, destination.route);
+    if (!context_.tables) {
         return callerRequest.refuse(
             request, { ErrorCode::NotReady, Step::Configuration, {}, "no configuration is known yet" });
     }
-    const std::shared_ptr<PoolState> pool = route ? context_.pool(route->pool) : nullptr;
-    if (!pool)
+    if (!destination.pool)
         return callerRequest.refuse(request, { ErrorCode::NoRoute, Step::Routing, {}, "no route takes this request" });
-    if (pool->pool.kind == tables::PoolKind::Service)
-        return service_->handle(request, callerRequest, *pool);
-    return search_->handle(request, exchange, callerRequest, *pool);
+    if (destination.pool->pool.kind == tables::PoolKind::Service)
+        return service_->handle(request, callerRequest, *destination.pool);
+    return search_->handle(request, exchange, callerRequest, *destination.pool);
 }
 
 transport::ServiceAnswer RequestHandler::handleForOther(const wire::IdentityRequest& passed)
@@ -53,22 +58,19 @@
     request.method_string(passed.call.method);
     request.target(passed.call.target);
     request.set(boost::beast::http::field::content_type, passed.call.contentType);
-    request.set("Flamingousher-Identity", passed.call.identity);
-    request.set("Flamingousher-Caller", passed.caller);
-    request.set("Flamingousher-Deadline-Ms",
+    request.set(std::string(field::Identity), passed.call.identity);
+    request.set(std::string(field::Caller), passed.caller);
+    request.set(std::string(field::DeadlineMs),
         std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(passed.remaining).count()));
     request.body() = passed.call.body;
-    const std::shared_ptr<const tables::Tables> tables = context_.tables;
-    const std::string path = http::parseTarget(passed.call.target).path;
-    const tables::Route* route = tables ? tables->routeFor(passed.call.method, path) : nullptr;
-    const std::shared_ptr<PoolState> pool = route ? context_.pool(route->pool) : nullptr;
-    CallerRequest callerRequest(context_, request, {}, route ? *route : tables::Route { .name = NoRoute });
-    if (!pool || pool->pool.kind != tables::PoolKind::Service) {
+    const Destination destination = findDestination(request, http::parseTarget(passed.call.target).path);
+    CallerRequest callerRequest(context_, request, {}, destination.route);
+    if (!destination.pool || destination.pool->pool.kind != tables::PoolKind::Service) {
         const http::Response response = callerRequest.refuse(
             request, { ErrorCode::NoRoute, Step::Routing, {}, "no route takes this request at the issuer" });
         return { response.result_int(), "application/json", response.body() };
     }
-    return service_->runForOther(request, callerRequest, *pool);
+    return service_->runForOther(request, callerRequest, *destination.pool);
 }
 
 void RequestHandler::moveWaiting()
--- a/src/traffic/requesthandler.h
+++ b/src/traffic/requesthandler.h
@@ -27,6 +27,13 @@
     void moveWaiting();
 
 private:
+    struct Destination {
+        tables::Route route { .name = "none" };
+        std::shared_ptr<PoolState> pool; // null when no route takes the request
+    };
+
+    Destination findDestination(const http::Request&, const std::string& path) const;
+
     TrafficContext& context_;
     std::unique_ptr<SearchHandler> search_;
     std::unique_ptr<ServiceHandler> service_;
--- a/src/traffic/trafficthread.cpp
+++ b/src/traffic/trafficthread.cpp
@@ -60,12 +60,9 @@
     thread_.call([&] { state_->applyTables(tables); });
 }
 
-std::set<std::string> TrafficThread::applyHomes(const std::shared_ptr<const HomeView>& view)
+void TrafficThread::applyHomes(const std::shared_ptr<const HomeView>& view)
 {
-    return thread_.call([&] {
-        state_->applyHomes(view);
-        return state_->homes.closingUpstreams();
-    });
+    thread_.call([&] { state_->applyHomes(view); });
 }
 
 std::set<std::string> TrafficThread::closingUpstreams()
--- a/src/traffic/trafficthread.h
+++ b/src/traffic/trafficthread.h
@@ -30,11 +30,10 @@
 
     void applyTables(const std::shared_ptr<const tables::Tables>&);
 
-    // Opens and closes links to upstreams by the view. Returns the upstreams that are no longer served here but
-    // have work in flight.
-    std::set<std::string> applyHomes(const std::shared_ptr<const HomeView>&);
+    // Opens and closes links to upstreams by the view.
+    void applyHomes(const std::shared_ptr<const HomeView>&);
 
-    // The present answer of the same kind.
+    // Upstreams that are no longer served here but have work in flight.
     std::set<std::string> closingUpstreams();
 
     // Evidence of a crash seen by another node or thread.
--- a/src/transport/upstreamlink.cpp
+++ b/src/transport/upstreamlink.cpp
@@ -1,7 +1,9 @@
 #include "transport/upstreamlink.h"
 
 #include "http/client.h"
+#include "runtime/connect.h"
 #include "runtime/fiberthread.h"
+#include "runtime/timeout.h"
 #include "runtime/usefiber.h"
 #include "transport/internal/connection.h"
 
@@ -200,18 +202,11 @@
 
 bool UpstreamLink::connect(Connection& connection)
 {
-    connection.socket = boost::asio::ip::tcp::socket(io_);
-    connection.buffer.clear();
-    boost::asio::steady_timer timer(io_, ConnectTimeout);
-    timer.async_wait([&connection](const error_code& error) {
-        if (!error)
-            connection.socket.close();
-    });
-    error_code error;
-    connection.socket.async_connect(endpoint_, useFiber[error]);
-    timer.cancel();
-    if (error || !connection.socket.is_open())
+    auto socket = runtime::connectWithin(io_, endpoint_, ConnectTimeout);
+    if (!socket || connection.isClosing)
         return false;
+    connection.socket = *std::move(socket);
+    connection.buffer.clear();
     setUpstreamOptions(connection.socket);
     connection.isConnected = true;
     connection.lastProgress = hooks_.now();
@@ -460,11 +455,7 @@
     // The connection unused for longest: one that has gone silent is found this way before work needs it.
     const std::shared_ptr<Connection> connection = idle_.front();
     idle_.erase(idle_.begin());
-    boost::asio::steady_timer timer(io_, ControlTimeout);
-    timer.async_wait([connection](const error_code& error) {
-        if (!error)
-            connection->close();
-    });
+    const runtime::Timeout timeout(io_, ControlTimeout, [&] { connection->close(); });
     error_code error;
     http::Request request = http::makeRequest(method, target);
     request.keep_alive(true);
@@ -472,7 +463,6 @@
     http::Response response;
     if (!error)
         beast::http::async_read(connection->socket, connection->buffer, response, useFiber[error]);
-    timer.cancel();
     if (error || connection->isClosing) {
         connection->close();
         return tl::unexpected(Error {
