--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -28,7 +28,7 @@
   --version        print the version and exit
   --help           print this text and exit
 
-SIGTERM and SIGINT finish what is in flight, then end the process.
+SIGTERM and SIGINT finish what is in flight, then end the process. SIGHUP is ignored.
 
 Exit codes: 0 stopped as asked, 2 wrong arguments, 3 wrong settings, 4 a port cannot be opened,
 5 the shutdown timeout passed with requests in flight.
@@ -74,6 +74,8 @@
         return 0;
     configureLog(*settings);
     std::signal(SIGPIPE, SIG_IGN);
+    // A stopped process is sent one when the session that started it ends.
+    std::signal(SIGHUP, SIG_IGN);
     flamingousher::daemon::Daemon daemon(*settings);
     if (const auto started = daemon.start(); !started) {
         std::fprintf(stderr, "%s\n", started.error().c_str());
--- a/src/traffic/internal/activequery.cpp
+++ b/src/traffic/internal/activequery.cpp
@@ -92,7 +92,7 @@
 void ActiveQuery::send(const query::SendSubRequest& action)
 {
     const base::TimePoint now = context_.now();
-    sent_.emplace(action.id, Sent { action.upstream, action.target.shard, now });
+    sent_.emplace(action.id, Sent { action.upstream, action.target, now });
     context_.chooser.onSent(action.upstream, request_->route().rank);
     if (!action.isHedge)
         extraLoad_.onFirstAttempt();
@@ -113,7 +113,7 @@
         return;
     context_.chooser.onCancelled(
         action.upstream, request_->route().rank, context_.now() - found->second.at, context_.now());
-    request_->note(EventKind::Cancelled, found->second.shard, action.upstream);
+    request_->note(EventKind::Cancelled, found->second.target.shard, action.upstream);
     sent_.erase(found);
     context_.dispatcher.cancel(action.id, action.upstream);
 }
@@ -138,13 +138,13 @@
     const base::TimePoint now = context_.now();
     if (!result.value) {
         learnFromError(sent, result.value.error());
-        request_->note(EventKind::Failed, sent.shard, sent.upstream, result.value.error());
+        request_->note(EventKind::Failed, sent.target.shard, sent.upstream, result.value.error());
         apply(query_.onFailure(id, result.value.error(), now));
         return;
     }
     context_.chooser.onAnswered(sent.upstream, request_->route().rank, result.queued, now - sent.at);
     extraLoad_.onAnswered(now - sent.at);
-    request_->note(EventKind::Answered, sent.shard, sent.upstream);
+    request_->note(EventKind::Answered, sent.target.shard, sent.upstream);
     context_.quarantine.onAnswered(fingerprint_);
     apply(query_.onAnswer(id, std::get<query::SubAnswer>(std::move(*result.value)), now));
 }
@@ -158,11 +158,8 @@
     }
     if (error.code == ErrorCode::UpstreamCrashed)
         context_.quarantine.onCrash(fingerprint_, context_.directory.at(sent.upstream).name, context_.now());
-    if (error.code == ErrorCode::VersionNotServed) {
-        const auto plan = pool_.catalog.bestPlan();
-        if (plan)
-            pool_.catalog.removeVersion(sent.upstream, plan->version);
-    }
+    if (error.code == ErrorCode::VersionNotServed)
+        pool_.catalog.removeVersion(sent.upstream, sent.target.version);
     if (error.code == ErrorCode::Draining)
         pool_.catalog.setUsable(sent.upstream, false);
 }
--- a/src/traffic/internal/activequery.h
+++ b/src/traffic/internal/activequery.h
@@ -33,7 +33,7 @@
 private:
     struct Sent {
         query::UpstreamId upstream { 0 };
-        std::uint32_t shard { 0 };
+        query::ServedShard target;
         base::TimePoint at;
     };
 
--- a/tests/process-test.sh
+++ b/tests/process-test.sh
@@ -135,6 +135,7 @@
 check "the lost VM comes back" wait_ready 3
 
 kill -STOP "${daemons[5]}"
+kill -HUP "${daemons[5]}" # as the kernel does to stopped processes when the session that started them ends
 revision=$(publish 1600)
 sleep 12
 kill -CONT "${daemons[5]}"
