--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -8,6 +8,9 @@
 
 # Adds the one test program of a module and registers it with CTest.
 function(flamingousher_add_tests name)
+    if(NOT FLAMINGOUSHER_TESTS)
+        return()
+    endif()
     cmake_parse_arguments(TESTS "" "" "SOURCES;DEPENDS" ${ARGN})
     add_executable(flamingousher_${name}_tests ${TESTS_SOURCES})
     target_link_libraries(flamingousher_${name}_tests PRIVATE flamingousher_${name} PkgConfig::CRITERION ${TESTS_DEPENDS})
--- /dev/null
+++ b/src/balancing/retrybudget.cpp
@@ -0,0 +1,71 @@
+#include "balancing/retrybudget.h"
+
+#include <algorithm>
+
+namespace flamingousher::balancing {
+
+namespace {
+
+    constexpr std::int64_t BucketsInWindow = 20;
+
+    // Attempts reach the upstream a little later than they are counted here.
+    constexpr double SafetyFactor = 0.9;
+
+    // Part of the allowance that hedges may use.
+    constexpr double HedgePart = 0.6;
+
+} // namespace
+
+RetryBudget::RetryBudget(RetryBudgetSettings settings)
+    : settings_(settings)
+{
+}
+
+void RetryBudget::setSettings(const RetryBudgetSettings& settings)
+{
+    settings_ = settings;
+}
+
+void RetryBudget::advance(base::TimePoint now)
+{
+    const std::int64_t bucket = now.time_since_epoch() / (settings_.window / BucketsInWindow);
+    const std::int64_t steps = std::min<std::int64_t>(bucket - current_, Buckets);
+    for (std::int64_t step = 0; step < steps; ++step)
+        buckets_[static_cast<std::size_t>((bucket - step) % static_cast<std::int64_t>(Buckets))] = {};
+    current_ = std::max(current_, bucket);
+}
+
+void RetryBudget::onRequest(base::TimePoint now)
+{
+    advance(now);
+    ++buckets_[static_cast<std::size_t>(current_ % static_cast<std::int64_t>(Buckets))].requests;
+}
+
+double RetryBudget::allowance(base::TimePoint now)
+{
+    advance(now);
+    double requests = 0;
+    for (std::int64_t age = 0; age < BucketsInWindow; ++age)
+        requests += buckets_[static_cast<std::size_t>((current_ - age) % static_cast<std::int64_t>(Buckets))].requests;
+    return SafetyFactor * settings_.ratio * requests + settings_.slack;
+}
+
+double RetryBudget::used(base::TimePoint now)
+{
+    advance(now);
+    double extras = 0;
+    for (const Bucket& bucket : buckets_)
+        extras += bucket.extras;
+    return extras;
+}
+
+bool RetryBudget::take(Extra kind, base::TimePoint now)
+{
+    const double part = kind == Extra::Hedge ? HedgePart : 1.0;
+    if (used(now) + 1 > part * allowance(now))
+        return false;
+    ++buckets_[static_cast<std::size_t>(current_ % static_cast<std::int64_t>(Buckets))].extras;
+    return true;
+}
+
+} // namespace flamingousher::balancing
--- /dev/null
+++ b/src/balancing/tests/replicaselectortests.cpp
@@ -0,0 +1,117 @@
+#include "balancing/replicaselector.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+using namespace flamingousher;
+using namespace flamingousher::balancing;
+using std::chrono::milliseconds;
+
+namespace {
+
+const base::TimePoint Start { std::chrono::hours(1) };
+constexpr base::Duration Typical = milliseconds(15);
+
+// Three replicas of one shard: 0 in the own zone, 1 and 2 elsewhere.
+struct Harness {
+    Harness()
+    {
+        selector.setUpstream(0, base::Duration::zero(), {});
+        selector.setUpstream(1, milliseconds(2), {});
+        selector.setUpstream(2, milliseconds(2), {});
+    }
+
+    UpstreamId choose(base::TimePoint now, const std::vector<UpstreamId>& tried = {}) const
+    {
+        return selector.choose(candidates, tried, Typical, now).upstream;
+    }
+
+    void answer(UpstreamId upstream, base::TimePoint sentAt, base::Duration time)
+    {
+        selector.onSent(upstream, ++attempt, Typical, sentAt);
+        selector.onAnswered(upstream, attempt, sentAt + time);
+    }
+
+    std::vector<UpstreamId> candidates { 0, 1, 2 };
+    std::set<UpstreamId> busy;
+    std::set<UpstreamId> unreachable;
+    AttemptId attempt { 0 };
+    ReplicaSelector selector { { [this](UpstreamId id) { return !busy.contains(id); },
+        [this](UpstreamId id) { return !unreachable.contains(id); } } };
+};
+
+} // namespace
+
+Test(ReplicaSelector, prefersTheOwnZone)
+{
+    Harness harness;
+    cr_assert_eq(harness.choose(Start), 0);
+    cr_assert_neq(harness.choose(Start, { 0 }), 0);
+}
+
+Test(ReplicaSelector, tellsBusyFromUnusable)
+{
+    Harness harness;
+    harness.busy = { 0, 1, 2 };
+    cr_assert(
+        harness.selector.choose(harness.candidates, {}, Typical, Start).verdict == ReplicaSelector::Verdict::NoRoom);
+    harness.busy.clear();
+    harness.unreachable = { 0, 1, 2 };
+    cr_assert(harness.selector.choose(harness.candidates, {}, Typical, Start).verdict
+        == ReplicaSelector::Verdict::NoneUsable);
+}
+
+// Load pattern: a replica pauses for 150 ms every few seconds.
+Test(ReplicaSelector, avoidsAReplicaThatStandsStillAndReturnsSoonAfter)
+{
+    Harness harness;
+    harness.selector.onSent(0, 99, Typical, Start);
+    cr_assert_eq(harness.choose(Start + milliseconds(1), {}), 1, "one request in flight is worth the way");
+    cr_assert_neq(harness.choose(Start + milliseconds(60)), 0);
+    harness.selector.onAnswered(0, 99, Start + milliseconds(150));
+    cr_assert_eq(harness.choose(Start + milliseconds(6'000)), 0, "one late answer is forgotten");
+}
+
+// Load pattern: a replica of many shards works eight times slower for some seconds.
+Test(ReplicaSelector, avoidsASlowReplicaAndTriesItAgain)
+{
+    Harness harness;
+    for (int request = 0; request < 4; ++request)
+        harness.answer(0, Start, 8 * Typical);
+    cr_assert_gt(harness.selector.slowness(0, Start + milliseconds(120)), 2.5);
+    cr_assert_neq(harness.choose(Start + milliseconds(150)), 0);
+    cr_assert_eq(harness.choose(Start + milliseconds(12'000)), 0);
+}
+
+// Load pattern: replicas refuse part of their work while their health is good.
+Test(ReplicaSelector, avoidsAReplicaThatRefuses)
+{
+    Harness harness;
+    harness.selector.onSent(0, 1, Typical, Start);
+    harness.selector.onFailed(0, 1, Start + milliseconds(1));
+    cr_assert_gt(harness.selector.failureRate(0, Start + milliseconds(1)), 0.2);
+    cr_assert_neq(harness.choose(Start + milliseconds(2)), 0);
+    for (int request = 0; request < 20; ++request)
+        harness.answer(0, Start + milliseconds(100), Typical);
+    cr_assert_eq(harness.choose(Start + milliseconds(200)), 0);
+}
+
+Test(ReplicaSelector, givesAColdReplicaLess)
+{
+    Harness harness;
+    harness.selector.setUpstream(0, base::Duration::zero(), Start + milliseconds(3'000));
+    cr_assert_neq(harness.choose(Start), 0);
+    cr_assert_eq(harness.choose(Start + milliseconds(3'000)), 0);
+}
+
+Test(ReplicaSelector, forgetsAttemptsThatSayNothing)
+{
+    Harness harness;
+    harness.selector.onSent(0, 1, Typical, Start);
+    harness.selector.onEnded(0, 1);
+    cr_assert_eq(harness.selector.inFlight(0), 0);
+    cr_assert_float_eq(harness.selector.slowness(0, Start), 1, 1e-9);
+    harness.selector.onAnswered(0, 1, Start + milliseconds(1'000));
+    cr_assert_float_eq(harness.selector.slowness(0, Start), 1, 1e-9);
+}
--- /dev/null
+++ b/src/discovery/tests/registrytests.cpp
@@ -0,0 +1,97 @@
+#include "discovery/registry.h"
+
+#include <criterion/criterion.h>
+
+using namespace flamingousher;
+using namespace flamingousher::discovery;
+using std::chrono::milliseconds;
+
+namespace {
+
+const base::TimePoint Start { std::chrono::hours(1) };
+
+UpstreamEntry entry(const std::string& id, std::uint64_t sequence, std::int64_t startedAt = 100)
+{
+    return { .id = id,
+        .service = "s",
+        .endpoint = "10.0.0.1:80",
+        .zone = "z",
+        .slots = 3,
+        .startedAt = startedAt,
+        .sequence = sequence };
+}
+
+UpstreamEntry draining(const std::string& id, std::uint64_t sequence)
+{
+    UpstreamEntry result = entry(id, sequence);
+    result.isDraining = true;
+    return result;
+}
+
+} // namespace
+
+Test(Registry, ignoresReportsOutOfOrder)
+{
+    Registry registry;
+    registry.put(draining("a", 5), Start);
+    registry.put(entry("a", 4), Start);
+    cr_assert(registry.upstreams().at(0).entry.isDraining);
+    registry.put(entry("a", 6), Start);
+    cr_assert(registry.upstreams().at(0).entry.isDraining, "draining does not end within one start");
+    registry.put(entry("a", 1, 200), Start);
+    cr_assert(!registry.upstreams().at(0).entry.isDraining, "a new start counts anew");
+    registry.put(entry("a", 9, 100), Start);
+    cr_assert_eq(registry.upstreams().at(0).entry.startedAt, 200);
+}
+
+Test(Registry, doesNotBringBackADepartedUpstreamByALateReport)
+{
+    Registry registry;
+    registry.put(entry("a", 5), Start);
+    registry.remove("a", Start);
+    cr_assert(registry.upstreams().empty());
+    registry.put(entry("a", 5), Start);
+    cr_assert(registry.upstreams().empty());
+    registry.put(entry("a", 6), Start);
+    cr_assert_eq(registry.upstreams().size(), 1);
+}
+
+Test(Registry, countsOnlyChangesThatMatter)
+{
+    Registry registry;
+    registry.put(entry("a", 1), Start);
+    const std::uint64_t before = registry.changes();
+    registry.put(entry("a", 2), Start);
+    cr_assert_eq(registry.changes(), before);
+    registry.put(draining("a", 3), Start);
+    cr_assert_gt(registry.changes(), before);
+}
+
+Test(Registry, keepsEntriesThatRanOutWhileTheStoreWasAway)
+{
+    Registry registry;
+    registry.put(entry("a", 1), Start);
+    registry.put(entry("b", 1), Start);
+    registry.noteStoreAway(Start);
+    registry.tick(Start + milliseconds(60'000));
+    cr_assert_eq(registry.upstreams().size(), 2, "nothing is known while the store is away");
+    const base::TimePoint back = Start + milliseconds(70'000);
+    registry.noteStoreBack(back);
+    registry.replaceAll({}, back);
+    cr_assert_eq(registry.upstreams().size(), 2);
+    registry.put(entry("a", 60), back + milliseconds(1'500));
+    registry.tick(back + milliseconds(2'600));
+    cr_assert_eq(registry.upstreams().size(), 1, "b has not published again in time");
+    cr_assert_eq(registry.upstreams().at(0).entry.id, "a");
+    registry.remove("a", back + milliseconds(3'000));
+    cr_assert(registry.upstreams().empty(), "later removals count at once");
+}
+
+Test(Registry, dropsWhatACompleteListDoesNotName)
+{
+    Registry registry;
+    registry.put(entry("a", 1), Start);
+    registry.replaceAll({ entry("b", 1) }, Start);
+    cr_assert_eq(registry.upstreams().size(), 1);
+    cr_assert_eq(registry.upstreams().at(0).entry.id, "b");
+}
--- /dev/null
+++ b/src/routing/tests/servicesplittests.cpp
@@ -0,0 +1,34 @@
+#include "routing/servicesplit.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace flamingousher::routing;
+
+Test(ServiceSplit, givesEachServiceItsShareInEveryShortSpan)
+{
+    ServiceSplit split;
+    const Route route { .name = "r", .services = { { "a", 3 }, { "b", 1 } } };
+    for (int span = 0; span < 5; ++span) {
+        std::map<std::string, int> counts;
+        for (int request = 0; request < 4; ++request)
+            ++counts[split.next(route)];
+        cr_assert_eq(counts["a"], 3);
+        cr_assert_eq(counts["b"], 1);
+    }
+}
+
+Test(ServiceSplit, startsAnewWhenTheWeightsChange)
+{
+    ServiceSplit split;
+    const Route before { .name = "r", .services = { { "a", 9 }, { "b", 1 } } };
+    for (int request = 0; request < 7; ++request)
+        split.next(before);
+    const Route after { .name = "r", .services = { { "a", 1 }, { "b", 1 } } };
+    std::map<std::string, int> counts;
+    for (int request = 0; request < 10; ++request)
+        ++counts[split.next(after)];
+    cr_assert_eq(counts["a"], 5);
+    cr_assert_eq(counts["b"], 5);
+}
