--- /dev/null
+++ b/src/entry/entrythread.cpp
@@ -0,0 +1,166 @@
+#include "entry/entrythread.h"
+
+#include "entry/internal/entrystate.h"
+#include "entry/internal/requesthandler.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "runtime/sleep.h"
+
+#include <boost/json.hpp>
+
+namespace flamingousher::entry {
+
+namespace {
+
+    // Within which attempts that are no longer wanted are broken off and connections are opened again.
+    constexpr std::chrono::milliseconds SweepInterval { 50 };
+
+    constexpr std::size_t MostCallerConnections = 3'000; // of the descriptors of a small VM
+
+    http::ServerLimits makeServerLimits()
+    {
+        http::ServerLimits limits;
+        limits.connections = MostCallerConnections;
+        return limits;
+    }
+
+} // namespace
+
+struct EntryThread::State {
+    State(boost::asio::io_context& io, const EntrySettings& settings, const CallerProtocol& callers,
+        const upstreamclient::UpstreamProtocol& upstreams, std::function<void(const std::string&)> writeLog)
+        : shared(io, settings, callers, upstreams, std::move(writeLog))
+        , handler(shared)
+        , server(io, makeServerLimits(), [this](const http::Request& request, http::Exchange& exchange) {
+            http::Response response = handler.handle(request, exchange);
+            // Tells the caller to go to another VM with its next request.
+            if (shared.isStopping)
+                response.keep_alive(false);
+            return response;
+        })
+    {
+    }
+
+    EntryState shared;
+    RequestHandler handler;
+    http::Server server;
+};
+
+EntryThread::EntryThread(const EntrySettings& settings, const CallerProtocol& callers,
+    const upstreamclient::UpstreamProtocol& upstreams, std::function<void(const std::string&)> writeLog)
+    : thread_("entry")
+    , settings_(settings)
+    , state_(thread_.call(
+          [&] { return std::make_unique<State>(thread_.io(), settings, callers, upstreams, std::move(writeLog)); }))
+{
+    thread_.post([this] { runSweep(); });
+}
+
+EntryThread::~EntryThread()
+{
+    thread_.stop();
+    // Fibers of the stopped thread still refer to the state; the process is about to end.
+    static_cast<void>(state_.release());
+}
+
+tl::expected<void, std::string> EntryThread::listen()
+{
+    const auto error = thread_.call([&] { return state_->server.listen(settings_.callers); });
+    if (error)
+        return tl::unexpected("callers' port " + http::toString(settings_.callers) + ": " + error.message());
+    return {};
+}
+
+void EntryThread::runSweep()
+{
+    for (;;) {
+        runtime::sleepFor(thread_.io(), SweepInterval);
+        state_->shared.directory.sweep();
+    }
+}
+
+void EntryThread::applyRoutes(std::shared_ptr<const routing::RouteTable> routes)
+{
+    thread_.call([&] { state_->shared.applyRoutes(routes); });
+}
+
+void EntryThread::applyUpstreams(std::vector<discovery::KnownUpstream> upstreams)
+{
+    thread_.call([&] { state_->shared.directory.apply(upstreams); });
+}
+
+void EntryThread::setVms(std::size_t vms)
+{
+    thread_.call([&] { state_->shared.directory.setVms(vms); });
+}
+
+void EntryThread::beginShutdown()
+{
+    thread_.call([this] { state_->shared.isStopping = true; });
+}
+
+void EntryThread::closeListener()
+{
+    thread_.call([this] { state_->server.beginShutdown(); });
+}
+
+bool EntryThread::isIdle()
+{
+    return thread_.call([this] { return state_->server.isIdle(); });
+}
+
+std::string EntryThread::describeState()
+{
+    return thread_.call([this] {
+        EntryState& shared = state_->shared;
+        boost::json::array upstreams;
+        for (const auto& [name, id] : shared.directory.current()) {
+            const auto& pool = shared.directory.pool(id);
+            upstreams.push_back(boost::json::object { { "upstream", name },
+                { "service", shared.directory.entry(id).service }, { "endpoint", shared.directory.entry(id).endpoint },
+                { "draining", shared.directory.entry(id).isDraining }, { "connections", pool.connectionCount() },
+                { "reachable", pool.isReachable() }, { "room", pool.hasRoom() },
+                { "in_flight", shared.directory.selector().inFlight(id) },
+                { "slowness", shared.directory.selector().slowness(id, shared.now()) },
+                { "failure_rate", shared.directory.selector().failureRate(id, shared.now()) } });
+        }
+        return boost::json::serialize(boost::json::object {
+            { "version", shared.routes ? shared.routes->configuration().version : 0 },
+            { "records", shared.records.size() },
+            { "upstreams", std::move(upstreams) },
+        });
+    });
+}
+
+metrics::Snapshot EntryThread::metrics()
+{
+    return thread_.call([this] {
+        EntryState& shared = state_->shared;
+        const auto counters = shared.directory.counters();
+        const auto gauge = [&](const std::string& name, const std::string& help, auto value) {
+            shared.metrics.gauge("flamingousher_" + name, help).set(static_cast<double>(value));
+        };
+        gauge("upstreams", "Upstreams published.", shared.directory.upstreamCount());
+        gauge("upstream_connections", "Connections open to upstreams.", shared.directory.connectionCount());
+        gauge("attempts_sent", "Attempts sent to upstreams.", counters.sent);
+        gauge("attempts_lost", "Attempts lost with their connection.", counters.lost);
+        gauge("attempts_broken_off", "Attempts given up because no answer came.", counters.brokenOff);
+        gauge("connections_opened", "Connections opened to upstreams.", counters.opened);
+        gauge("connections_failed", "Connections that could not be opened.", counters.openFailed);
+        gauge("connections_refused", "Connections reset by an upstream that has enough.", counters.refusedAtLimit);
+        gauge("silent_connections_dropped", "Idle connections dropped as silent.", counters.silentDropped);
+        gauge("unmatched_answers", "Answers that belong to no request.", counters.unmatched);
+        gauge("caller_connections", "Callers' connections open.", state_->server.counters().open);
+        gauge("malformed_requests", "Callers' requests refused as malformed or oversized.",
+            state_->server.counters().malformedRequests + state_->server.counters().oversizedRequests);
+        gauge("log_lines_dropped", "Lines of the log dropped beyond its rate.", shared.log.dropped());
+        return shared.metrics.snapshot();
+    });
+}
+
+std::optional<accounts::RequestRecord> EntryThread::findRecord(const std::string& requestId)
+{
+    return thread_.call([&] { return state_->shared.records.find(requestId); });
+}
+
+} // namespace flamingousher::entry
--- /dev/null
+++ b/src/entry/internal/activerequest.cpp
@@ -0,0 +1,203 @@
+#include "entry/internal/activerequest.h"
+
+namespace flamingousher::entry {
+
+using accounts::EventKind;
+using base::Error;
+using base::ErrorCode;
+using base::RunState;
+using upstreamclient::ReplyKind;
+using upstreamclient::UpstreamReply;
+
+ActiveRequest::ActiveRequest(EntryState& state, std::shared_ptr<const routing::RouteTable> routes,
+    const routing::Route& route, const CallerCall& call, std::vector<std::shared_ptr<ServiceState>> services,
+    const fanout::FanoutSpec& spec)
+    : state_(state)
+    , routes_(std::move(routes))
+    , route_(route)
+    , call_(call.outbound)
+    , services_(std::move(services))
+    , spec_(spec)
+    , times_(state.partTimes(route))
+    , query_(spec, makeHooks())
+    , timer_(state.io)
+    , replies_(services_.size())
+    , waiting_(services_.size())
+{
+}
+
+fanout::FanoutHooks ActiveRequest::makeHooks()
+{
+    return {
+        [this](std::uint32_t shard, const std::vector<UpstreamId>& tried) {
+            return state_.directory.selector().choose(
+                services_[shard]->upstreams, tried, times_.typical(), state_.now());
+        },
+        [this](std::uint32_t, UpstreamId) { return times_.hedgeDelay(); },
+        [this](
+            std::uint32_t shard, balancing::Extra kind) { return services_[shard]->budget.take(kind, state_.now()); },
+        [this] { return state_.nextId(); },
+    };
+}
+
+fanout::FinishFanout ActiveRequest::run()
+{
+    apply(query_.start(state_.now()));
+    if (!outcome_) {
+        armTimer();
+        isWaitingFiber_ = true;
+        finished_.wait();
+    }
+    timer_.cancel();
+    return *std::move(outcome_);
+}
+
+void ActiveRequest::abandon()
+{
+    if (!outcome_)
+        apply(query_.abandon(state_.now()));
+}
+
+std::vector<UpstreamReply> ActiveRequest::takeReplies()
+{
+    std::vector<UpstreamReply> result;
+    for (auto& reply : replies_) {
+        if (reply)
+            result.push_back(*std::exchange(reply, std::nullopt));
+    }
+    return result;
+}
+
+void ActiveRequest::note(EventKind kind, std::uint32_t shard, UpstreamId upstream, std::string detail)
+{
+    steps_.push_back({ kind, state_.now(), shard, state_.directory.entry(upstream).id, std::move(detail) });
+}
+
+void ActiveRequest::armTimer()
+{
+    const base::TimePoint next = query_.nextTimer();
+    if (outcome_ || next == armedFor_)
+        return;
+    armedFor_ = next;
+    timer_.expires_at(next);
+    timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+        if (error || self->outcome_)
+            return;
+        self->armedFor_ = {};
+        self->apply(self->query_.onTimer(self->state_.now()));
+        self->armTimer();
+    });
+}
+
+void ActiveRequest::apply(std::vector<fanout::Action> actions)
+{
+    for (fanout::Action& action : actions) {
+        if (const auto* toSend = std::get_if<fanout::SendAttempt>(&action))
+            send(*toSend);
+        else if (const auto* toDrop = std::get_if<fanout::DropAttempt>(&action))
+            state_.directory.pool(toDrop->upstream).drop(toDrop->attempt);
+        else if (const auto* toAwait = std::get_if<fanout::AwaitRoom>(&action))
+            await(toAwait->shard);
+        else
+            outcome_ = std::get<fanout::FinishFanout>(std::move(action));
+    }
+    if (!outcome_)
+        return;
+    withdrawAll();
+    if (isWaitingFiber_)
+        finished_.notify();
+}
+
+void ActiveRequest::withdrawAll()
+{
+    for (std::uint32_t shard = 0; shard < waiting_.size(); ++shard) {
+        if (waiting_[shard])
+            Directory::withdraw(*services_[shard], *std::exchange(waiting_[shard], std::nullopt));
+    }
+}
+
+void ActiveRequest::send(const fanout::SendAttempt& action)
+{
+    const base::TimePoint now = state_.now();
+    sent_.emplace(action.attempt, Sent { action.upstream, action.shard, now });
+    state_.directory.selector().onSent(action.upstream, action.attempt, times_.typical(), now);
+    note(action.isExtra ? EventKind::Hedged : EventKind::Sent, action.shard, action.upstream);
+    state_.directory.pool(action.upstream)
+        .send({ action.attempt, call_, spec_.deadline, spec_.isIdempotent },
+            [self = shared_from_this(), id = action.attempt](
+                upstreamclient::AttemptResult result) { self->onResult(id, std::move(result)); });
+}
+
+void ActiveRequest::await(std::uint32_t shard)
+{
+    waiting_[shard] = state_.directory.await(*services_[shard], spec_.answerBy, [weak = weak_from_this(), shard] {
+        const auto self = weak.lock();
+        if (!self || self->outcome_)
+            return true;
+        self->apply(self->query_.onRoom(shard, self->state_.now()));
+        if (self->outcome_ || !self->query_.isAwaitingRoom(shard)) {
+            self->waiting_[shard].reset();
+            self->armTimer();
+            return true;
+        }
+        return false;
+    });
+}
+
+void ActiveRequest::onResult(AttemptId id, upstreamclient::AttemptResult result)
+{
+    const auto found = sent_.find(id);
+    if (found == sent_.end())
+        return;
+    const Sent sent = found->second;
+    sent_.erase(found);
+    if (result)
+        onReply(id, sent, *std::move(result));
+    else
+        onError(id, sent, result.error());
+    if (!outcome_)
+        armTimer();
+}
+
+void ActiveRequest::onReply(AttemptId id, const Sent& sent, UpstreamReply reply)
+{
+    const base::TimePoint now = state_.now();
+    switch (reply.kind) {
+    case ReplyKind::Success:
+        state_.directory.selector().onAnswered(sent.upstream, id, now);
+        times_.observe(now - sent.at);
+        replies_[sent.shard] = std::move(reply);
+        apply(query_.onAnswered(id, now));
+        return;
+    case ReplyKind::NotRun:
+        fail(id, sent, RunState::NotRun, true, "refused with status " + std::to_string(reply.response.result_int()));
+        return;
+    case ReplyKind::WrongUpstream:
+        fail(id, sent, RunState::NotRun, false, "another process answers at the address");
+        return;
+    case ReplyKind::Failure: {
+        const std::string reason = "failed with status " + std::to_string(reply.response.result_int());
+        failedReply_ = std::move(reply);
+        fail(id, sent, RunState::Run, true, reason);
+        return;
+    }
+    }
+}
+
+void ActiveRequest::onError(AttemptId id, const Sent& sent, const Error& error)
+{
+    lastError_ = error;
+    // A connection that could not be opened put no load on the upstream.
+    const bool reachedUpstream = error.runState != RunState::NotRun;
+    fail(id, sent, error.runState, reachedUpstream, toString(error));
+}
+
+void ActiveRequest::fail(
+    AttemptId id, const Sent& sent, RunState runState, bool reachedUpstream, const std::string& reason)
+{
+    state_.directory.selector().onFailed(sent.upstream, id, state_.now());
+    note(EventKind::Failed, sent.shard, sent.upstream, reason);
+    apply(query_.onFailed(id, { runState, reachedUpstream, reason }, state_.now()));
+}
+
+} // namespace flamingousher::entry
--- /dev/null
+++ b/src/entry/internal/entrystate.cpp
@@ -0,0 +1,41 @@
+#include "entry/internal/entrystate.h"
+
+namespace flamingousher::entry {
+
+namespace {
+
+    constexpr std::size_t KeptRecords = 500;
+
+} // namespace
+
+EntryState::EntryState(boost::asio::io_context& ioContext, const EntrySettings& entrySettings,
+    const CallerProtocol& callerProtocol, const upstreamclient::UpstreamProtocol& upstreamProtocol,
+    std::function<void(const std::string&)> writeLog)
+    : io(ioContext)
+    , settings(entrySettings)
+    , callers(callerProtocol)
+    , upstreams(upstreamProtocol)
+    , now([] { return std::chrono::steady_clock::now(); })
+    , log({}, { now, std::move(writeLog) })
+    , records(KeptRecords)
+    , directory(ioContext, settings, upstreams, log, now)
+    , random(std::random_device {}())
+{
+}
+
+void EntryState::applyRoutes(const std::shared_ptr<const routing::RouteTable>& table)
+{
+    routes = table;
+    std::erase_if(times, [&](const auto& entry) {
+        return std::ranges::none_of(
+            table->configuration().routes, [&](const routing::Route& route) { return route.name == entry.first; });
+    });
+    directory.applyConfiguration(*table);
+}
+
+fanout::PartTimes& EntryState::partTimes(const routing::Route& route)
+{
+    return times.try_emplace(route.name, route.goal).first->second;
+}
+
+} // namespace flamingousher::entry
--- /dev/null
+++ b/src/entry/tests/directorytests.cpp
@@ -0,0 +1,117 @@
+#include "entry/internal/directory.h"
+
+#include "runtime/fiberthread.h"
+
+#include <criterion/criterion.h>
+
+using namespace flamingousher;
+using namespace flamingousher::entry;
+
+namespace {
+
+// A directory whose upstreams cannot be connected to: what it decides, without the connections.
+struct Harness {
+    explicit Harness(boost::asio::io_context& ioContext)
+        : io(ioContext)
+    {
+    }
+
+    discovery::KnownUpstream upstream(const std::string& id, const std::string& service, std::int64_t startedAt = 1)
+    {
+        return { { .id = id,
+                     .service = service,
+                     .endpoint = "127.0.0.1:1",
+                     .zone = "a",
+                     .slots = 3,
+                     .startedAt = startedAt,
+                     .sequence = 1 },
+            {} };
+    }
+
+    void configure(std::uint32_t mostConnections)
+    {
+        routing::Configuration configuration { 1, {}, { { "s", mostConnections } }, {} };
+        directory.applyConfiguration(
+            routing::RouteTable(std::make_shared<const routing::Configuration>(configuration)));
+    }
+
+    boost::asio::io_context& io;
+    base::TimePoint now { std::chrono::hours(1) };
+    EntrySettings settings { .zone = "a", .assumedVms = 9 };
+    upstreamclient::UpstreamProtocol protocol;
+    eventlog::EventLog log { {}, { [this] { return now; }, [](const std::string&) {} } };
+    Directory directory { io, settings, protocol, log, [this] { return now; } };
+};
+
+// Fibers of connections outlive a test, and so do the thread and the harness.
+void withHarness(const std::function<void(Harness&)>& check)
+{
+    auto* thread = new runtime::FiberThread("test");
+    thread->call([&] { check(*new Harness(thread->io())); });
+}
+
+} // namespace
+
+Test(Directory, followsTheUpstreamsOfAService)
+{
+    withHarness([](Harness& harness) {
+        harness.directory.apply({ harness.upstream("a", "s"), harness.upstream("b", "s") });
+        cr_assert_eq(harness.directory.service("s")->upstreams.size(), 2);
+        auto draining = harness.upstream("a", "s");
+        draining.entry.isDraining = true;
+        harness.directory.apply({ draining, harness.upstream("b", "s") });
+        cr_assert_eq(harness.directory.service("s")->upstreams.size(), 1);
+        harness.directory.apply({});
+        cr_assert(harness.directory.service("s")->upstreams.empty());
+    });
+}
+
+Test(Directory, takesANewStartOfAnUpstreamForAnotherUpstream)
+{
+    withHarness([](Harness& harness) {
+        harness.directory.apply({ harness.upstream("a", "s", 1) });
+        const UpstreamId before = harness.directory.service("s")->upstreams.at(0);
+        harness.directory.apply({ harness.upstream("a", "s", 1) });
+        cr_assert_eq(harness.directory.service("s")->upstreams.at(0), before);
+        harness.directory.apply({ harness.upstream("a", "s", 2) });
+        cr_assert_eq(harness.directory.service("s")->upstreams.size(), 1);
+        cr_assert_neq(harness.directory.service("s")->upstreams.at(0), before);
+    });
+}
+
+Test(Directory, sharesAnUpstreamsConnectionsAmongTheVms)
+{
+    withHarness([](Harness& harness) {
+        harness.configure(31);
+        harness.directory.apply({ harness.upstream("a", "s") });
+        const auto connections = [&] {
+            return harness.directory.pool(harness.directory.service("s")->upstreams.at(0)).settings().mostConnections;
+        };
+        cr_assert_eq(connections(), 3);
+        harness.directory.setVms(12);
+        cr_assert_eq(connections(), 2);
+        harness.directory.setVms(100);
+        cr_assert_eq(connections(), 1);
+    });
+}
+
+Test(Directory, startsWaitingWorkInTheOrderOfItsGoals)
+{
+    withHarness([](Harness& harness) {
+        const auto service = harness.directory.service("s");
+        std::vector<int> started;
+        const auto start = [&](int number) {
+            return [&started, number] {
+                started.push_back(number);
+                return true;
+            };
+        };
+        harness.directory.await(*service, harness.now + std::chrono::milliseconds(500), start(1));
+        const auto withdrawn = harness.directory.await(*service, harness.now + std::chrono::milliseconds(90), start(2));
+        harness.directory.await(*service, harness.now + std::chrono::milliseconds(100), start(3));
+        Directory::withdraw(*service, withdrawn);
+        harness.directory.apply({ harness.upstream("a", "s") });
+        cr_assert_eq(started, (std::vector<int> { 3, 1 }));
+        cr_assert_eq(service->queue.size(), 0);
+    });
+}
--- /dev/null
+++ b/src/upstreamclient/connectionpool.cpp
@@ -0,0 +1,167 @@
+#include "upstreamclient/connectionpool.h"
+
+#include "runtime/fiberthread.h"
+#include "upstreamclient/internal/connection.h"
+
+#include <algorithm>
+
+namespace flamingousher::upstreamclient {
+
+namespace {
+
+    constexpr base::Duration FirstConnectBackoff = std::chrono::milliseconds(100);
+    constexpr std::uint32_t MostBackoffDoublings = 4; // 1.6 s: an upstream that is back is soon used again
+
+    // An upstream that resets new connections is full; it is asked for more after this time.
+    constexpr base::Duration LowLimitTime = std::chrono::seconds(2);
+
+} // namespace
+
+ConnectionPool::ConnectionPool(
+    boost::asio::io_context& io, const PoolSettings& settings, const UpstreamProtocol& protocol, Hooks hooks)
+    : io_(io)
+    , settings_(settings)
+    , protocol_(protocol)
+    , hooks_(std::move(hooks))
+{
+}
+
+ConnectionPool::~ConnectionPool() = default;
+
+std::size_t ConnectionPool::limit() const
+{
+    return hooks_.now() < lowLimitUntil_ ? std::min(lowLimit_, settings_.mostConnections) : settings_.mostConnections;
+}
+
+void ConnectionPool::open()
+{
+    auto connection = std::make_shared<Connection>(io_, shared_from_this());
+    connections_.push_back(connection);
+    ++counters_.opened;
+    runtime::spawnFiber([connection] { connection->run(); });
+}
+
+void ConnectionPool::keepWarm()
+{
+    const std::size_t wanted = std::min(settings_.warmConnections, limit());
+    while (!isRetired_ && connections_.size() < wanted && hooks_.now() >= retryConnectAt_)
+        open();
+}
+
+std::shared_ptr<Connection> ConnectionPool::freeConnection() const
+{
+    std::shared_ptr<Connection> best;
+    for (const auto& connection : connections_) {
+        // The one used last is the least likely to have been closed by the other side.
+        if (connection->isFree() && (!best || connection->lastProgress() > best->lastProgress()))
+            best = connection;
+    }
+    if (best)
+        return best;
+    const auto opening = std::ranges::find_if(
+        connections_, [](const auto& connection) { return connection->isOpening() && !connection->isBusy(); });
+    return opening == connections_.end() ? nullptr : *opening;
+}
+
+bool ConnectionPool::hasRoom() const
+{
+    if (isRetired_)
+        return false;
+    return freeConnection() != nullptr || (connections_.size() < limit() && hooks_.now() >= retryConnectAt_);
+}
+
+bool ConnectionPool::isReachable() const
+{
+    const bool isConnected
+        = std::ranges::any_of(connections_, [](const auto& connection) { return !connection->isOpening(); });
+    return !isRetired_ && (isConnected || hooks_.now() >= retryConnectAt_);
+}
+
+void ConnectionPool::send(const Attempt& attempt, AttemptCallback callback)
+{
+    std::shared_ptr<Connection> connection = freeConnection();
+    if (!connection) {
+        open();
+        connection = connections_.back();
+    }
+    connection->start(attempt, std::move(callback));
+}
+
+void ConnectionPool::drop(AttemptId id)
+{
+    for (const auto& connection : connections_) {
+        if (connection->drop(id))
+            return;
+    }
+}
+
+void ConnectionPool::onConnected()
+{
+    connectFailures_ = 0;
+    retryConnectAt_ = {};
+}
+
+void ConnectionPool::onConnectFailed()
+{
+    const std::uint32_t doublings = std::min(connectFailures_++, MostBackoffDoublings);
+    retryConnectAt_ = hooks_.now() + FirstConnectBackoff * (1U << doublings);
+}
+
+void ConnectionPool::onClosed(const std::shared_ptr<Connection>& connection, bool wasRefusedAtLimit)
+{
+    std::erase(connections_, connection);
+    if (wasRefusedAtLimit) {
+        ++counters_.refusedAtLimit;
+        lowLimit_ = std::max<std::size_t>(1, connections_.size());
+        lowLimitUntil_ = hooks_.now() + LowLimitTime;
+        if (connections_.empty())
+            onConnectFailed();
+    }
+    if (!isRetired_)
+        hooks_.onRoom();
+}
+
+void ConnectionPool::sweep()
+{
+    const base::TimePoint now = hooks_.now();
+    for (const auto& connection : std::vector(connections_)) {
+        if (!connection->isSilent(now))
+            continue;
+        ++counters_.brokenOff;
+        onSilent(connection->sentAt());
+        connection->close("no answer in time");
+    }
+    keepWarm();
+}
+
+// Connections without progress since a request that stayed without answer may have been forgotten by the network.
+void ConnectionPool::onSilent(base::TimePoint since)
+{
+    for (const auto& connection : std::vector(connections_)) {
+        if (connection->isFree() && connection->lastProgress() < since) {
+            ++counters_.silentDropped;
+            connection->close("silent");
+        }
+    }
+}
+
+void ConnectionPool::setSettings(const PoolSettings& settings)
+{
+    settings_ = settings;
+}
+
+void ConnectionPool::retire()
+{
+    isRetired_ = true;
+    for (const auto& connection : std::vector(connections_)) {
+        if (connection->isRetirable())
+            connection->close("retired");
+    }
+}
+
+bool ConnectionPool::isIdle() const
+{
+    return std::ranges::none_of(connections_, [](const auto& connection) { return connection->isBusy(); });
+}
+
+} // namespace flamingousher::upstreamclient
--- /dev/null
+++ b/src/upstreamclient/internal/connection.cpp
@@ -0,0 +1,299 @@
+#include "upstreamclient/internal/connection.h"
+
+#include "runtime/connect.h"
+#include "runtime/fiberthread.h"
+#include "runtime/usefiber.h"
+
+#include <boost/asio/write.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace flamingousher::upstreamclient {
+
+namespace beast = boost::beast;
+using base::Error;
+using base::ErrorCode;
+using base::RunState;
+using base::Step;
+using boost::system::error_code;
+using runtime::useFiber;
+
+namespace {
+
+    // An upstream of the same region answers within milliseconds; a lost opening packet is sent again after a second.
+    constexpr std::chrono::milliseconds ConnectTimeout { 400 };
+
+    // Sent data that the other kernel does not acknowledge for this long is lost with its connection. Upstreams that
+    // pause still acknowledge.
+    constexpr int UnacknowledgedTimeoutMs = 500;
+    constexpr int KeepaliveIdleSeconds = 2;
+    constexpr int KeepaliveIntervalSeconds = 1;
+    constexpr int KeepaliveProbes = 2;
+
+    // An idle connection is not used in the last part of the time that the upstream has stated.
+    constexpr base::Duration IdleMargin = std::chrono::milliseconds(700);
+
+    // Answers of upstreams that pause for 0.1 to 0.15 s still come within this time, and keep their connection.
+    constexpr base::Duration DroppedPatience = std::chrono::milliseconds(200);
+
+    // An attempt whose deadline has passed this long ago is not answered any more.
+    constexpr base::Duration OverduePatience = std::chrono::milliseconds(100);
+
+    constexpr std::size_t ReadBytes = 4'096;
+    constexpr std::uint64_t MostAnswerBytes = 8ULL * 1024 * 1024;
+    constexpr unsigned FirstFinalStatus = 200;
+
+    void setOption(int socket, int level, int option, int value)
+    {
+        ::setsockopt(socket, level, option, &value, sizeof(value));
+    }
+
+    void setOptions(boost::asio::ip::tcp::socket& socket)
+    {
+        const int handle = socket.native_handle();
+        setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+        setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedTimeoutMs);
+        setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+        setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, KeepaliveIdleSeconds);
+        setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, KeepaliveIntervalSeconds);
+        setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, KeepaliveProbes);
+        error_code ignored;
+        socket.non_blocking(true, ignored);
+    }
+
+} // namespace
+
+Connection::Connection(boost::asio::io_context& io, std::shared_ptr<ConnectionPool> pool)
+    : pool_(std::move(pool))
+    , io_(io)
+    , socket_(io)
+{
+}
+
+bool Connection::connect()
+{
+    auto socket = runtime::connectWithin(io_, pool_->settings_.endpoint, ConnectTimeout);
+    if (!socket || isClosing_) {
+        if (closeReason_.empty())
+            closeReason_ = socket ? "closed" : socket.error().message();
+        return false;
+    }
+    socket_ = *std::move(socket);
+    setOptions(socket_);
+    isOpen_ = true;
+    openedAt_ = pool_->hooks_.now();
+    lastProgress_ = openedAt_;
+    return true;
+}
+
+void Connection::run()
+{
+    const auto self = shared_from_this();
+    if (!connect()) {
+        isClosing_ = true;
+        ++pool_->counters_.openFailed;
+        fail(ErrorCode::Unreachable, Step::Connect, closeReason_, RunState::NotRun);
+        pool_->onClosed(self, false);
+        pool_->onConnectFailed();
+        return;
+    }
+    pool_->onConnected();
+    if (attempt_)
+        write();
+    else
+        pool_->hooks_.onRoom();
+    error_code error;
+    while (!isClosing_) {
+        const std::size_t received = socket_.async_read_some(buffer_.prepare(ReadBytes), useFiber[error]);
+        if (error)
+            break;
+        buffer_.commit(received);
+        lastProgress_ = pool_->hooks_.now();
+        if (!consume())
+            break;
+    }
+    isClosing_ = true;
+    onReadEnded(error);
+    error_code ignored;
+    socket_.close(ignored);
+    pool_->onClosed(self, answers_ == 0 && error == boost::asio::error::connection_reset);
+}
+
+// An answer without a stated length ends with the connection; one that was reset on the way is not complete.
+void Connection::onReadEnded(const error_code& error)
+{
+    if (!attempt_)
+        return;
+    if (error == boost::asio::error::eof && parser_ && parser_->got_some() && parser_->need_eof()) {
+        error_code parseError;
+        parser_->put_eof(parseError);
+        if (!parseError && parser_->is_done()) {
+            complete(parser_->release());
+            return;
+        }
+    }
+    ++pool_->counters_.lost;
+    const std::string detail = !closeReason_.empty() ? closeReason_ : error ? error.message() : "broken answer";
+    const bool isBroken = closeReason_.empty() && !error;
+    fail(isBroken ? ErrorCode::ProtocolViolation : ErrorCode::ConnectionLost, Step::Receive, detail,
+        isWritten_ ? RunState::Unknown : RunState::NotRun);
+}
+
+void Connection::start(const Attempt& attempt, AttemptCallback callback)
+{
+    attempt_ = attempt;
+    callback_ = std::move(callback);
+    isWritten_ = false;
+    sentAt_ = pool_->hooks_.now();
+    if (isOpen_)
+        write();
+}
+
+void Connection::write()
+{
+    const base::TimePoint now = pool_->hooks_.now();
+    sentAt_ = now;
+    ++pool_->counters_.sent;
+    std::string bytes = pool_->protocol_.encode(
+        *attempt_->call, pool_->settings_.upstreamId, std::max(base::Duration::zero(), attempt_->deadline - now));
+    error_code error;
+    const std::size_t written = socket_.write_some(boost::asio::buffer(bytes), error);
+    isWritten_ = written > 0;
+    if (written == bytes.size())
+        return;
+    if (error && error != boost::asio::error::would_block) {
+        close(error.message().c_str());
+        return;
+    }
+    isWritten_ = true;
+    isWriting_ = true;
+    runtime::spawnFiber([self = shared_from_this(), rest = bytes.substr(written)] { self->finishWrite(rest); });
+}
+
+void Connection::finishWrite(std::string rest)
+{
+    error_code error;
+    boost::asio::async_write(socket_, boost::asio::buffer(rest), useFiber[error]);
+    isWriting_ = false;
+    if (error)
+        close(error.message().c_str());
+}
+
+// Feeds received bytes to the parser. Returns false when the connection must not be used any more.
+bool Connection::consume()
+{
+    while (buffer_.size() > 0) {
+        if (!attempt_) {
+            ++pool_->counters_.unmatched;
+            return false;
+        }
+        if (!parser_) {
+            parser_.emplace();
+            parser_->eager(true);
+            parser_->body_limit(MostAnswerBytes);
+        }
+        error_code error;
+        buffer_.consume(parser_->put(buffer_.data(), error));
+        if (error == beast::http::error::need_more)
+            return true;
+        if (error)
+            return false;
+        if (!parser_->is_done())
+            continue;
+        const bool isReusable = complete(parser_->release());
+        parser_.reset();
+        if (!isReusable)
+            return false;
+    }
+    return true;
+}
+
+// Handles one whole response. Returns false when the connection must not be used any more.
+bool Connection::complete(http::Response&& response)
+{
+    if (response.result_int() < FirstFinalStatus)
+        return true;
+    bool isReusable = response.keep_alive() && !isWriting_;
+    UpstreamReply reply = pool_->protocol_.decode(std::move(response));
+    if (!reply.requestId.empty() && reply.requestId != attempt_->call->requestId) {
+        ++pool_->counters_.unmatched;
+        return isReusable;
+    }
+    ++answers_;
+    ++pool_->counters_.answered;
+    // Bytes after a complete answer belong to no request.
+    isReusable = isReusable && buffer_.size() == 0 && !pool_->isRetired_;
+    idleTimeout_ = reply.idleTimeout;
+    if (reply.kind == ReplyKind::WrongUpstream) {
+        isReusable = false;
+        if (pool_->hooks_.onReplaced)
+            pool_->hooks_.onReplaced();
+    }
+    // Set before the callback runs: it may look for a free connection.
+    if (!isReusable)
+        isClosing_ = true;
+    endAttempt(std::move(reply));
+    if (isReusable && !attempt_)
+        pool_->hooks_.onRoom();
+    return isReusable && !isClosing_;
+}
+
+void Connection::endAttempt(AttemptResult result)
+{
+    const AttemptId id = attempt_->id;
+    const bool isAnswered = result.has_value();
+    attempt_.reset();
+    AttemptCallback callback = std::exchange(callback_, nullptr);
+    if (callback)
+        callback(std::move(result));
+    else
+        pool_->hooks_.onDroppedEnded(id, isAnswered ? DroppedEnd::Answered : DroppedEnd::BrokenOff);
+}
+
+void Connection::fail(ErrorCode code, Step step, const std::string& detail, RunState runState)
+{
+    if (attempt_)
+        endAttempt(tl::unexpected(Error { code, step, http::toString(pool_->settings_.endpoint), detail, runState }));
+}
+
+bool Connection::drop(AttemptId id)
+{
+    if (!attempt_ || attempt_->id != id)
+        return false;
+    callback_ = nullptr;
+    droppedAt_ = pool_->hooks_.now();
+    if (!isOpen_) {
+        // Nothing has been sent: the connection stays for the next attempt.
+        attempt_.reset();
+        pool_->hooks_.onDroppedEnded(id, DroppedEnd::NeverSent);
+    }
+    return true;
+}
+
+void Connection::close(const char* reason)
+{
+    if (isClosing_)
+        return;
+    isClosing_ = true;
+    closeReason_ = reason;
+    error_code ignored;
+    // Wakes the reading fiber, which ends the attempt.
+    socket_.cancel(ignored);
+}
+
+bool Connection::isStale() const
+{
+    return idleTimeout_ && pool_->hooks_.now() - lastProgress_ > *idleTimeout_ - IdleMargin;
+}
+
+bool Connection::isSilent(base::TimePoint now) const
+{
+    if (!attempt_ || !isOpen_)
+        return false;
+    if (now > attempt_->deadline + OverduePatience)
+        return true;
+    return !callback_ && attempt_->isRepeatable && now > droppedAt_ + DroppedPatience;
+}
+
+} // namespace flamingousher::upstreamclient
--- /dev/null
+++ b/src/upstreamclient/tests/connectionpooltests.cpp
@@ -0,0 +1,366 @@
+#include "upstreamclient/connectionpool.h"
+
+#include "rawserver.h"
+#include "runtime/sleep.h"
+
+#include <criterion/criterion.h>
+
+#include <random>
+
+using namespace flamingousher;
+using namespace flamingousher::upstreamclient;
+using base::ErrorCode;
+using base::RunState;
+
+namespace {
+
+// A protocol for these tests: the header "Id" names the request, and "Not-Run" says that it did not run.
+UpstreamProtocol makeProtocol()
+{
+    return {
+        [](const OutboundCall& call, const std::string&, base::Duration) { return call.head + "\r\n" + call.body; },
+        [](http::Response&& response) {
+            UpstreamReply reply;
+            reply.requestId = std::string(response["Id"]);
+            if (response["Idle"].size() > 0)
+                reply.idleTimeout = std::chrono::seconds(std::stoi(std::string(response["Idle"])));
+            reply.kind = response.result_int() == 200 ? ReplyKind::Success : ReplyKind::Failure;
+            if (response["Not-Run"].size() > 0)
+                reply.kind = ReplyKind::NotRun;
+            if (response.result_int() == 421)
+                reply.kind = ReplyKind::WrongUpstream;
+            reply.response = std::move(response);
+            return reply;
+        },
+    };
+}
+
+std::string answerTo(const std::string& id, const std::string& body = "ok")
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string idOf(const std::string& head)
+{
+    const std::size_t at = head.find("Id: ") + 4;
+    return head.substr(at, head.find("\r\n", at) - at);
+}
+
+// Answers each request with its own identifier.
+void answerAll(RawConnection& connection)
+{
+    for (std::string head = connection.readHead(); !head.empty(); head = connection.readHead())
+        connection.write(answerTo(idOf(head)));
+}
+
+struct Harness {
+    Harness(boost::asio::io_context& ioContext, RawServer::Script script, std::size_t connections = 1)
+        : io(ioContext)
+        , server(io, std::move(script))
+        , pool(std::make_shared<ConnectionPool>(io, PoolSettings { "u", server.endpoint(), connections, 1 }, protocol,
+              ConnectionPool::Hooks { [] { return std::chrono::steady_clock::now(); }, [this] { ++rooms; },
+                  [this](AttemptId, DroppedEnd end) { droppedEnds.push_back(end); }, [this] { ++replaced; } }))
+    {
+    }
+
+    // Sends one request and waits for its end.
+    AttemptResult ask(const std::string& id, std::chrono::milliseconds allowed = std::chrono::milliseconds(2'000))
+    {
+        std::optional<AttemptResult> result;
+        send(
+            id, [&result](AttemptResult told) { result.emplace(std::move(told)); }, allowed);
+        for (int step = 0; step < 3'000 && !result; ++step) {
+            runtime::sleepFor(io, std::chrono::milliseconds(1));
+            pool->sweep();
+        }
+        cr_assert(result.has_value(), "every attempt ends");
+        return *std::move(result);
+    }
+
+    AttemptId send(const std::string& id, AttemptCallback callback,
+        std::chrono::milliseconds allowed = std::chrono::milliseconds(2'000))
+    {
+        cr_assert(pool->hasRoom());
+        const auto call
+            = std::make_shared<const OutboundCall>(OutboundCall { id, "GET /x HTTP/1.1\r\nId: " + id + "\r\n", "" });
+        pool->send({ ++lastAttempt, call, std::chrono::steady_clock::now() + allowed, true }, std::move(callback));
+        return lastAttempt;
+    }
+
+    template <typename Predicate> bool eventually(Predicate predicate)
+    {
+        for (int step = 0; step < 2'000 && !predicate(); ++step) {
+            runtime::sleepFor(io, std::chrono::milliseconds(1));
+            pool->sweep();
+        }
+        return predicate();
+    }
+
+    boost::asio::io_context& io;
+    UpstreamProtocol protocol { makeProtocol() };
+    RawServer server;
+    int rooms { 0 };
+    int replaced { 0 };
+    std::vector<DroppedEnd> droppedEnds;
+    AttemptId lastAttempt { 0 };
+    std::shared_ptr<ConnectionPool> pool;
+};
+
+// Fibers of connections outlive a test, and so do the thread and the harness.
+void withServer(RawServer::Script script, const std::function<void(Harness&)>& check, std::size_t connections = 1)
+{
+    auto* thread = new runtime::FiberThread("test");
+    thread->call([&] { check(*new Harness(thread->io(), std::move(script), connections)); });
+}
+
+} // namespace
+
+Test(ConnectionPool, usesAConnectionAgain)
+{
+    withServer(answerAll, [](Harness& harness) {
+        for (int request = 0; request < 5; ++request)
+            cr_assert(harness.ask("id-" + std::to_string(request)).has_value());
+        cr_assert_eq(harness.server.accepted(), 1);
+    });
+}
+
+Test(ConnectionPool, provesThatNothingRanWhenItCannotConnect)
+{
+    withServer(answerAll, [](Harness& harness) {
+        auto settings = harness.pool->settings();
+        settings.endpoint.port(1);
+        harness.pool->setSettings(settings);
+        const AttemptResult result = harness.ask("a");
+        cr_assert(!result && result.error().runState == RunState::NotRun);
+        cr_assert(!harness.pool->isReachable(), "it waits before it tries again");
+        cr_assert(harness.eventually([&] { return harness.pool->isReachable(); }));
+    });
+}
+
+Test(ConnectionPool, cannotTellWhatALostConnectionRan)
+{
+    withServer(
+        [](RawConnection& connection) {
+            connection.readHead();
+            connection.reset();
+        },
+        [](Harness& harness) {
+            const AttemptResult result = harness.ask("a");
+            cr_assert(!result && result.error().runState == RunState::Unknown);
+            cr_assert(result.error().code == ErrorCode::ConnectionLost);
+        });
+}
+
+Test(ConnectionPool, doesNotTakeABrokenAnswerForAWholeOne)
+{
+    withServer(
+        [](RawConnection& connection) {
+            connection.readHead();
+            connection.write("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 100\r\n\r\nhalf");
+            connection.close();
+        },
+        [](Harness& harness) { cr_assert(!harness.ask("a").has_value()); });
+}
+
+Test(ConnectionPool, takesAnAnswerThatEndsWithItsConnection)
+{
+    withServer(
+        [](RawConnection& connection) {
+            connection.readHead();
+            connection.write("HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole");
+            connection.close();
+        },
+        [](Harness& harness) {
+            const AttemptResult result = harness.ask("a");
+            cr_assert(result.has_value());
+            cr_assert_eq(result->response.body(), "whole");
+        });
+}
+
+Test(ConnectionPool, dropsAnswersToOtherRequests)
+{
+    withServer(
+        [](RawConnection& connection) {
+            const std::string first = idOf(connection.readHead());
+            connection.write(answerTo(first, "first"));
+            const std::string second = idOf(connection.readHead());
+            // A second answer to the first request comes in the place of the second's.
+            connection.write(answerTo(first, "again") + answerTo(second, "second"));
+            answerAll(connection);
+        },
+        [](Harness& harness) {
+            cr_assert_eq(harness.ask("a")->response.body(), "first");
+            cr_assert_eq(harness.ask("b")->response.body(), "second");
+            cr_assert_eq(harness.pool->counters().unmatched, 1);
+        });
+}
+
+Test(ConnectionPool, closesAConnectionWithBytesThatNobodyAskedFor)
+{
+    withServer(
+        [](RawConnection& connection) {
+            const std::string id = idOf(connection.readHead());
+            connection.write(answerTo(id) + answerTo(id));
+            answerAll(connection);
+        },
+        [](Harness& harness) {
+            cr_assert(harness.ask("a").has_value());
+            cr_assert(harness.eventually([&] { return harness.server.accepted() >= 2; }));
+            cr_assert_eq(harness.ask("b")->requestId, "b");
+        });
+}
+
+Test(ConnectionPool, skipsInterimResponses)
+{
+    withServer(
+        [](RawConnection& connection) {
+            const std::string id = idOf(connection.readHead());
+            connection.write("HTTP/1.1 100 Continue\r\n\r\n" + answerTo(id));
+        },
+        [](Harness& harness) { cr_assert_eq(harness.ask("a")->response.result_int(), 200); });
+}
+
+Test(ConnectionPool, endsAnAttemptAtItsDeadline)
+{
+    withServer(
+        [](RawConnection& connection) {
+            while (!connection.readHead().empty()) { }
+        },
+        [](Harness& harness) {
+            const AttemptResult result = harness.ask("a", std::chrono::milliseconds(50));
+            cr_assert(!result && result.error().runState == RunState::Unknown);
+            cr_assert_eq(harness.pool->counters().brokenOff, 1);
+        });
+}
+
+Test(ConnectionPool, keepsTheConnectionOfADroppedAttemptWhoseAnswerComesSoon)
+{
+    withServer(answerAll, [](Harness& harness) {
+        cr_assert(harness.ask("a").has_value());
+        const AttemptId dropped = harness.send("b", [](const AttemptResult&) { cr_assert_fail("it was dropped"); });
+        harness.pool->drop(dropped);
+        cr_assert(harness.eventually([&] { return harness.droppedEnds.size() == 1; }));
+        cr_assert(harness.droppedEnds.at(0) == DroppedEnd::Answered);
+        cr_assert(harness.ask("c").has_value());
+        cr_assert_eq(harness.server.accepted(), 1);
+    });
+}
+
+Test(ConnectionPool, closesTheOtherConnectionsOfAnUpstreamThatHasFallenSilent)
+{
+    auto requests = std::make_shared<int>(0);
+    withServer(
+        [requests](RawConnection& connection) {
+            for (std::string head = connection.readHead(); !head.empty(); head = connection.readHead()) {
+                // From the third request on, connections opened before stay without answer.
+                if (++*requests != 3)
+                    connection.write(answerTo(idOf(head)));
+            }
+        },
+        [](Harness& harness) {
+            int answered = 0;
+            const auto count = [&](const AttemptResult& result) { answered += result.has_value() ? 1 : 0; };
+            harness.send("a", count);
+            harness.send("b", count);
+            cr_assert(harness.eventually([&] { return answered == 2; }));
+            const AttemptId silent = harness.send("c", count);
+            harness.pool->drop(silent);
+            cr_assert(harness.eventually([&] { return harness.pool->counters().silentDropped == 1; }));
+            cr_assert(harness.droppedEnds.empty() || harness.droppedEnds.back() == DroppedEnd::BrokenOff);
+            cr_assert(harness.eventually([&] { return harness.pool->hasRoom(); }));
+            cr_assert_eq(harness.ask("d")->requestId, "d");
+        },
+        2);
+}
+
+Test(ConnectionPool, takesFewerConnectionsWhenTheUpstreamResetsThem)
+{
+    auto accepted = std::make_shared<int>(0);
+    withServer(
+        [accepted](RawConnection& connection) {
+            if (++*accepted > 1) {
+                connection.reset();
+                return;
+            }
+            answerAll(connection);
+        },
+        [](Harness& harness) {
+            cr_assert(harness.ask("a").has_value());
+            int ended = 0;
+            harness.send("b", [&](const AttemptResult&) { ++ended; });
+            harness.send("c", [&](const AttemptResult&) { ++ended; });
+            cr_assert(harness.eventually([&] { return ended == 2; }));
+            cr_assert_eq(harness.pool->counters().refusedAtLimit, 1);
+            cr_assert_eq(harness.pool->connectionCount(), 1);
+            cr_assert(harness.ask("d").has_value());
+        },
+        3);
+}
+
+Test(ConnectionPool, tellsWhenAnotherProcessHasTheAddress)
+{
+    withServer(
+        [](RawConnection& connection) {
+            connection.readHead();
+            connection.write("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n");
+        },
+        [](Harness& harness) {
+            cr_assert(harness.ask("a")->kind == ReplyKind::WrongUpstream);
+            cr_assert_eq(harness.replaced, 1);
+        });
+}
+
+Test(ConnectionPool, finishesItsAttemptsWhenItRetires)
+{
+    withServer(answerAll, [](Harness& harness) {
+        std::optional<bool> isAnswered;
+        harness.send("a", [&](const AttemptResult& result) { isAnswered = result.has_value(); });
+        runtime::sleepFor(harness.io, std::chrono::milliseconds(1));
+        harness.pool->retire();
+        cr_assert(!harness.pool->hasRoom());
+        cr_assert(harness.eventually([&] { return isAnswered.has_value(); }));
+        cr_assert(harness.eventually([&] { return harness.pool->connectionCount() == 0; }));
+    });
+}
+
+// Whatever an upstream sends, each attempt ends, and no answer goes to another request.
+Test(ConnectionPool, survivesDamagedAnswers)
+{
+    auto random = std::make_shared<std::mt19937>(5);
+    withServer(
+        [random](RawConnection& connection) {
+            for (std::string head = connection.readHead(); !head.empty(); head = connection.readHead()) {
+                std::string bytes = answerTo(idOf(head), "body of " + idOf(head));
+                const std::size_t at = (*random)() % bytes.size();
+                switch ((*random)() % 4) {
+                case 0:
+                    bytes[at] = static_cast<char>((*random)());
+                    break;
+                case 1:
+                    bytes.resize(at);
+                    break;
+                case 2:
+                    bytes += bytes.substr(at);
+                    break;
+                default:
+                    break;
+                }
+                connection.write(bytes);
+                if (bytes.size() < 60) {
+                    connection.close();
+                    return;
+                }
+            }
+        },
+        [](Harness& harness) {
+            for (int request = 0; request < 1'000; ++request) {
+                if (!harness.eventually([&] { return harness.pool->hasRoom(); }))
+                    cr_assert_fail("no room in time");
+                const std::string id = "id" + std::to_string(request);
+                const AttemptResult result = harness.ask(id, std::chrono::milliseconds(20));
+                // A damaged identifier may read as none, but never as another request's.
+                if (result)
+                    cr_assert(result->requestId.empty() || result->requestId == id);
+            }
+        });
+}
--- /dev/null
+++ b/src/upstreamclient/tests/rawserver.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "http/types.h"
+#include "runtime/fiberthread.h"
+#include "runtime/listen.h"
+#include "runtime/usefiber.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace flamingousher::upstreamclient {
+
+// One connection of a server that a test scripts byte by byte.
+class RawConnection {
+public:
+    explicit RawConnection(boost::asio::ip::tcp::socket socket)
+        : socket_(std::move(socket))
+    {
+    }
+
+    // Reads until the end of one request's header. Empty when the connection has ended.
+    std::string readHead()
+    {
+        boost::system::error_code error;
+        while (received_.find("\r\n\r\n") == std::string::npos) {
+            char bytes[2'048];
+            const std::size_t count = socket_.async_read_some(boost::asio::buffer(bytes), runtime::useFiber[error]);
+            if (error)
+                return {};
+            received_.append(bytes, count);
+        }
+        const std::size_t end = received_.find("\r\n\r\n") + 4;
+        std::string head = received_.substr(0, end);
+        received_.erase(0, end);
+        return head;
+    }
+
+    void write(const std::string& bytes)
+    {
+        boost::system::error_code error;
+        boost::asio::async_write(socket_, boost::asio::buffer(bytes), runtime::useFiber[error]);
+    }
+
+    void reset()
+    {
+        boost::system::error_code error;
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), error);
+        socket_.close(error);
+    }
+
+    void close()
+    {
+        boost::system::error_code error;
+        socket_.close(error);
+    }
+
+private:
+    boost::asio::ip::tcp::socket socket_;
+    std::string received_;
+};
+
+// Accepts connections and runs a script on each, in a fiber of its own.
+class RawServer {
+public:
+    using Script = std::function<void(RawConnection&)>;
+
+    RawServer(boost::asio::io_context& io, Script script)
+        : acceptor_(std::make_shared<boost::asio::ip::tcp::acceptor>(io))
+    {
+        runtime::listenOn(*acceptor_, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        runtime::spawnFiber([this, acceptor = acceptor_, script = std::move(script)] {
+            runtime::acceptEach(*acceptor, [&](boost::asio::ip::tcp::socket socket) {
+                ++accepted_;
+                auto connection = std::make_shared<RawConnection>(std::move(socket));
+                runtime::spawnFiber([connection, script] { script(*connection); });
+            });
+        });
+    }
+
+    http::Endpoint endpoint() const { return acceptor_->local_endpoint(); }
+    int accepted() const { return accepted_; }
+
+private:
+    std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor_;
+    int accepted_ { 0 };
+};
+
+} // namespace flamingousher::upstreamclient
--- /dev/null
+++ b/src/upstreamclient/types.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "balancing/types.h"
+#include "base/error.h"
+#include "http/client.h"
+#include "http/types.h"
+
+#include <tl/expected.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace flamingousher::upstreamclient {
+
+using balancing::AttemptId;
+
+// A caller's request as it is passed on. Shared by all attempts.
+struct OutboundCall {
+    std::string requestId;
+    std::string head; // request line and the header fields that all attempts share, without the empty line
+    std::string body;
+};
+
+enum class ReplyKind : std::uint8_t {
+    Success,
+    Failure, // ran, or may have run, without success
+    NotRun, // the upstream states that it did not run the request
+    WrongUpstream, // another process answers at this address; the request was not run
+};
+
+// An upstream's response, as the protocol in use understands it.
+struct UpstreamReply {
+    ReplyKind kind { ReplyKind::Failure };
+    std::string requestId; // of the request that it answers; empty when it does not say
+    std::string stamp; // the upstream's proof of this answer; may be empty
+    std::optional<std::chrono::seconds> idleTimeout; // after which the upstream closes the connection
+    http::Response response;
+};
+
+// How requests are written to upstreams and their responses are read.
+struct UpstreamProtocol {
+    // The bytes of one attempt. remaining: time left until the caller's deadline.
+    std::function<std::string(const OutboundCall&, const std::string& upstreamId, base::Duration remaining)> encode;
+    std::function<UpstreamReply(http::Response&&)> decode;
+};
+
+struct Attempt {
+    AttemptId id { 0 };
+    std::shared_ptr<const OutboundCall> call;
+    base::TimePoint deadline;
+    bool isRepeatable { true }; // may be broken off once its answer is no longer wanted
+};
+
+// The end of an attempt: the upstream's reply, or an error that says what is proved about its run.
+using AttemptResult = tl::expected<UpstreamReply, base::Error>;
+using AttemptCallback = std::function<void(AttemptResult)>;
+
+// How an attempt ended whose answer was no longer wanted.
+enum class DroppedEnd : std::uint8_t {
+    Answered,
+    BrokenOff,
+    NeverSent,
+};
+
+struct PoolSettings {
+    std::string upstreamId;
+    http::Endpoint endpoint;
+    std::size_t mostConnections { 1 };
+    std::size_t warmConnections { 1 }; // kept open ahead of need
+
+    bool operator==(const PoolSettings&) const = default;
+};
+
+struct PoolCounters {
+    std::uint64_t opened { 0 };
+    std::uint64_t openFailed { 0 };
+    std::uint64_t refusedAtLimit { 0 }; // connections reset by the upstream before any answer
+    std::uint64_t sent { 0 };
+    std::uint64_t answered { 0 };
+    std::uint64_t lost { 0 };
+    std::uint64_t unmatched { 0 }; // responses that no attempt waited for
+    std::uint64_t silentDropped { 0 };
+    std::uint64_t brokenOff { 0 };
+};
+
+} // namespace flamingousher::upstreamclient
