--- /dev/null
+++ b/src/control/directcontroller.cpp
@@ -0,0 +1,79 @@
+#include "control/directcontroller.h"
+
+namespace flamingousher::control {
+
+DirectController::DirectController(eventlog::EventLog& log, Hooks hooks)
+    : log_(log)
+    , hooks_(std::move(hooks))
+    , registry_([this](const discovery::UpstreamEntry& entry, const char* change) {
+        log_.change("upstream",
+            { { "change", change }, { "upstream", entry.id }, { "service", entry.service },
+                { "endpoint", entry.endpoint }, { "zone", entry.zone }, { "started_at", entry.startedAt },
+                { "sequence", entry.sequence } });
+    })
+{
+}
+
+void DirectController::onConfiguration(const routing::Configuration& configuration)
+{
+    if (configuration.version <= version_) {
+        if (configuration.version < version_)
+            log_.change("configuration_older", { { "version", configuration.version }, { "in_force", version_ } });
+        return;
+    }
+    const std::uint64_t before = std::exchange(version_, configuration.version);
+    hooks_.applyRoutes(
+        std::make_shared<const routing::RouteTable>(std::make_shared<const routing::Configuration>(configuration)));
+    log_.change("configuration",
+        { { "version", version_ }, { "before", before }, { "routes", configuration.routes.size() },
+            { "services", configuration.services.size() } });
+}
+
+void DirectController::onAllUpstreams(const std::vector<discovery::UpstreamEntry>& entries)
+{
+    registry_.replaceAll(entries, hooks_.now());
+}
+
+void DirectController::onUpstream(const discovery::UpstreamEntry& entry)
+{
+    registry_.put(entry, hooks_.now());
+}
+
+void DirectController::onUpstreamGone(const std::string& id)
+{
+    registry_.remove(id, hooks_.now());
+}
+
+void DirectController::onStoreLost(const base::Error& error)
+{
+    registry_.noteStoreAway(hooks_.now());
+    log_.change("store_lost", { { "reason", toString(error) }, { "version", version_ } });
+}
+
+void DirectController::onStoreRegained()
+{
+    registry_.noteStoreBack(hooks_.now());
+    log_.change("store_regained", { { "version", version_ } });
+}
+
+void DirectController::onUnreadable(const base::Error& error)
+{
+    ++unreadable_;
+    log_.decision("entry_unreadable", { { "reason", toString(error) } });
+}
+
+void DirectController::publish()
+{
+    if (registry_.changes() == publishedChanges_)
+        return;
+    publishedChanges_ = registry_.changes();
+    hooks_.applyUpstreams(registry_.upstreams());
+}
+
+void DirectController::tick()
+{
+    registry_.tick(hooks_.now());
+    publish();
+}
+
+} // namespace flamingousher::control
--- /dev/null
+++ b/src/control/tests/directcontrollertests.cpp
@@ -0,0 +1,79 @@
+#include "control/directcontroller.h"
+
+#include <criterion/criterion.h>
+
+#include <vector>
+
+using namespace flamingousher;
+using namespace flamingousher::control;
+
+namespace {
+
+struct Harness {
+    base::TimePoint now { std::chrono::hours(1) };
+    std::vector<std::uint64_t> versions;
+    std::vector<std::size_t> upstreamCounts;
+    eventlog::EventLog log { {}, { [this] { return now; }, [](const std::string&) {} } };
+    DirectController controller { log,
+        { [this] { return now; },
+            [this](const std::shared_ptr<const routing::RouteTable>& routes) {
+                versions.push_back(routes->configuration().version);
+            },
+            [this](const std::vector<discovery::KnownUpstream>& upstreams) {
+                upstreamCounts.push_back(upstreams.size());
+            } } };
+};
+
+discovery::UpstreamEntry entry(const std::string& id)
+{
+    return { .id = id, .service = "s", .endpoint = "10.0.0.1:80", .sequence = 1 };
+}
+
+} // namespace
+
+Test(DirectController, neverTakesAnOlderConfiguration)
+{
+    Harness harness;
+    for (std::uint64_t version : { 4, 9, 6, 9, 12 })
+        harness.controller.onConfiguration({ .version = version });
+    cr_assert_eq(harness.versions, (std::vector<std::uint64_t> { 4, 9, 12 }));
+    cr_assert_eq(harness.controller.version(), 12);
+}
+
+Test(DirectController, appliesGatheredChangesOnce)
+{
+    Harness harness;
+    harness.controller.onUpstream(entry("a"));
+    harness.controller.onUpstream(entry("b"));
+    cr_assert(harness.upstreamCounts.empty());
+    harness.controller.publish();
+    harness.controller.publish();
+    cr_assert_eq(harness.upstreamCounts, (std::vector<std::size_t> { 2 }));
+}
+
+Test(DirectController, mayServeOnceRoutesAndUpstreamsAreKnown)
+{
+    Harness harness;
+    cr_assert(!harness.controller.mayServe());
+    harness.controller.onConfiguration({ .version = 1 });
+    cr_assert(!harness.controller.mayServe());
+    harness.controller.onUpstream(entry("a"));
+    harness.controller.publish();
+    cr_assert(harness.controller.mayServe());
+}
+
+Test(DirectController, keepsLapsedUpstreamsUntilTheirTimeAfterTheStoresReturn)
+{
+    Harness harness;
+    harness.controller.onUpstream(entry("a"));
+    harness.controller.publish();
+    harness.controller.onStoreLost({});
+    harness.now += std::chrono::seconds(30);
+    harness.controller.onStoreRegained();
+    harness.controller.onAllUpstreams({});
+    harness.controller.tick();
+    cr_assert_eq(harness.upstreamCounts.size(), 1);
+    harness.now += std::chrono::seconds(3);
+    harness.controller.tick();
+    cr_assert_eq(harness.upstreamCounts, (std::vector<std::size_t> { 1, 0 }));
+}
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -190,6 +190,7 @@
         const bool didCallersEnd = waitUntil(end, [](auto& thread) { return thread.areCallersIdle(); });
         fleet_->leave();
         const bool didWorkEnd = waitUntil(end, [](auto& thread) { return thread.areHomesIdle(); });
+        spdlog::info("stopped{}", didCallersEnd && didWorkEnd ? "" : ": the shutdown timeout passed");
         return didCallersEnd && didWorkEnd;
     });
 }
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,5 +1,7 @@
 #include "daemon/daemon.h"
+#include "daemon/vmdaemon.h"
 #include "settings/daemonsettings.h"
+#include "settings/vmsettings.h"
 
 #include <gflags/gflags.h>
 #include <spdlog/spdlog.h>
@@ -8,6 +10,8 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <fstream>
+#include <iterator>
 
 DEFINE_string(settings, "", "INI file with the settings of this process.");
 DEFINE_bool(check, false, "Check the settings file and exit.");
@@ -28,7 +32,8 @@
   --version        print the version and exit
   --help           print this text and exit
 
-SIGTERM and SIGINT finish what is in flight, then end the process. SIGHUP is ignored.
+SIGTERM and SIGINT finish what is in flight, then end the process. With [platform] kind = store, SIGHUP reads the
+settings file again; otherwise it is ignored.
 
 Exit codes: 0 stopped as asked, 2 wrong arguments, 3 wrong settings, 4 a port cannot be opened,
 5 the shutdown timeout passed with requests in flight.
@@ -50,6 +55,57 @@
     return false;
 }
 
+std::string readText(const std::string& file)
+{
+    std::ifstream stream(file);
+    return { std::istreambuf_iterator<char>(stream), {} };
+}
+
+int printFaults(const std::vector<std::string>& faults)
+{
+    for (const std::string& line : faults)
+        std::fprintf(stderr, "%s\n", line.c_str());
+    return ExitSettings;
+}
+
+template <typename Daemon> int run(Daemon& daemon)
+{
+    if (const auto started = daemon.start(); !started) {
+        std::fprintf(stderr, "%s\n", started.error().c_str());
+        std::_Exit(ExitPorts);
+    }
+    const bool isClean = daemon.runUntilStopped();
+    spdlog::shutdown();
+    std::fflush(nullptr);
+    // Fibers that wait for idle connections are not unwound.
+    std::_Exit(isClean ? 0 : ExitShutdownTimeout);
+}
+
+int runOnStore()
+{
+    const auto settings = flamingousher::settings::loadVmSettings(FLAGS_settings);
+    if (!settings)
+        return printFaults(settings.error());
+    if (FLAGS_check)
+        return 0;
+    flamingousher::daemon::VmDaemon daemon(*settings, FLAGS_settings);
+    return run(daemon);
+}
+
+int runOnTables()
+{
+    const auto settings = flamingousher::settings::loadSettings(FLAGS_settings);
+    if (!settings)
+        return printFaults(settings.error());
+    if (FLAGS_check)
+        return 0;
+    configureLog(*settings);
+    // A stopped process is sent one when the session that started it ends.
+    std::signal(SIGHUP, SIG_IGN);
+    flamingousher::daemon::Daemon daemon(*settings);
+    return run(daemon);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -64,27 +120,8 @@
         std::fputs(Usage, stderr);
         return ExitUsage;
     }
-    const auto settings = flamingousher::settings::loadSettings(FLAGS_settings);
-    if (!settings) {
-        for (const std::string& line : settings.error())
-            std::fprintf(stderr, "%s\n", line.c_str());
-        return ExitSettings;
-    }
-    if (FLAGS_check)
-        return 0;
-    configureLog(*settings);
     std::signal(SIGPIPE, SIG_IGN);
-    // A stopped process is sent one when the session that started it ends.
-    std::signal(SIGHUP, SIG_IGN);
-    flamingousher::daemon::Daemon daemon(*settings);
-    if (const auto started = daemon.start(); !started) {
-        std::fprintf(stderr, "%s\n", started.error().c_str());
-        std::_Exit(ExitPorts);
-    }
-    const bool isClean = daemon.runUntilStopped();
-    spdlog::info("stopped{}", isClean ? "" : ": the shutdown timeout passed");
-    spdlog::shutdown();
-    std::fflush(nullptr);
-    // Fibers that wait for idle connections are not unwound.
-    std::_Exit(isClean ? 0 : ExitShutdownTimeout);
+    using flamingousher::settings::PlatformKind;
+    const bool isOnStore = flamingousher::settings::platformKind(readText(FLAGS_settings)) == PlatformKind::Store;
+    return isOnStore ? runOnStore() : runOnTables();
 }
--- /dev/null
+++ b/src/daemon/vmdaemon.cpp
@@ -0,0 +1,220 @@
+#include "daemon/vmdaemon.h"
+
+#include "http/client.h"
+#include "platform/callerprotocol.h"
+#include "platform/readiness.h"
+#include "platform/upstreamprotocol.h"
+#include "runtime/sleep.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
+
+#include <csignal>
+#include <random>
+
+namespace flamingousher::daemon {
+
+namespace {
+
+    constexpr std::chrono::milliseconds TickInterval { 250 };
+
+    // The balancer asks each second and turns away after two refusals; then no new connections come.
+    constexpr std::chrono::milliseconds BalancerNotice { 2'300 };
+
+    // Kept of the time between SIGTERM and SIGKILL for the end of the process.
+    constexpr std::chrono::milliseconds ExitMargin { 300 };
+
+    constexpr std::chrono::milliseconds DrainCheckInterval { 20 };
+
+    entry::EntrySettings makeEntrySettings(const settings::VmSettings& settings)
+    {
+        entry::EntrySettings entry;
+        entry.vm = settings.name;
+        entry.zone = settings.zone;
+        entry.region = settings.region;
+        entry.regions = settings.regions;
+        entry.callers = settings.callers;
+        entry.retryRatio = settings.retryRatio;
+        entry.retrySlack = settings.retrySlack;
+        entry.retryWindow = settings.retryWindow;
+        return entry;
+    }
+
+} // namespace
+
+VmDaemon::VmDaemon(settings::VmSettings settings, std::string settingsFile)
+    : settings_(std::move(settings))
+    , settingsFile_(std::move(settingsFile))
+    , writeLog_(eventlog::makeStandardOutputWriter())
+    , control_("control")
+    , log_({}, { [] { return std::chrono::steady_clock::now(); }, writeLog_ })
+    , entry_(makeEntrySettings(settings_), platform::makeCallerProtocol(), platform::makeUpstreamProtocol(), writeLog_)
+{
+}
+
+tl::expected<void, std::string> VmDaemon::start()
+{
+    control_.call([this] {
+        controller_ = std::make_unique<control::DirectController>(log_,
+            control::DirectController::Hooks { [] { return std::chrono::steady_clock::now(); },
+                [this](std::shared_ptr<const routing::RouteTable> routes) { entry_.applyRoutes(std::move(routes)); },
+                [this](std::vector<discovery::KnownUpstream> upstreams) {
+                    entry_.applyUpstreams(std::move(upstreams));
+                } });
+        watcher_ = std::make_unique<platform::StoreWatcher>(control_.io(), settings_.store, makeWatcherHooks());
+        readiness_ = std::make_unique<http::Server>(
+            control_.io(), http::ServerLimits {}, platform::makeReadinessHandler([this] { return isReady(); }));
+        operators_ = std::make_unique<http::Server>(
+            control_.io(), http::ServerLimits {}, control::makeOperatorHandler(makeOperatorHooks()));
+    });
+    const auto failed = [](const std::string& what, const http::Endpoint& endpoint, const auto& error) {
+        return tl::unexpected(what + " " + http::toString(endpoint) + ": " + error.message());
+    };
+    if (const auto error = control_.call([this] { return readiness_->listen(settings_.readiness); }))
+        return failed("readiness port", settings_.readiness, error);
+    if (const auto error = control_.call([this] { return operators_->listen(settings_.operators); }))
+        return failed("operators' port", settings_.operators, error);
+    if (auto listening = entry_.listen(); !listening)
+        return listening;
+    control_.call([this] {
+        log_.change("started",
+            { { "vm", settings_.name }, { "zone", settings_.zone }, { "region", settings_.region },
+                { "callers", http::toString(settings_.callers) }, { "store", http::toString(settings_.store) },
+                { "shutdown_ms", settings_.shutdownTime.count() }, { "retry_ratio", settings_.retryRatio },
+                { "retry_slack", settings_.retrySlack } });
+    });
+    control_.post([this] { watcher_->run(); });
+    control_.post([this] { runTicks(); });
+    return {};
+}
+
+platform::StoreWatcher::Hooks VmDaemon::makeWatcherHooks()
+{
+    const auto random = std::make_shared<std::mt19937>(std::random_device {}());
+    return {
+        [random] { return (*random)(); },
+        [this](const routing::Configuration& configuration) { controller_->onConfiguration(configuration); },
+        [this](const std::vector<discovery::UpstreamEntry>& entries) { controller_->onAllUpstreams(entries); },
+        [this](const discovery::UpstreamEntry& entry) { controller_->onUpstream(entry); },
+        [this](const std::string& id) { controller_->onUpstreamGone(id); },
+        [this] { controller_->publish(); },
+        [this](const base::Error& error) { controller_->onStoreLost(error); },
+        [this] { controller_->onStoreRegained(); },
+        [this](const base::Error& error) { controller_->onUnreadable(error); },
+    };
+}
+
+void VmDaemon::runTicks()
+{
+    for (;;) {
+        runtime::sleepFor(control_.io(), TickInterval);
+        controller_->tick();
+    }
+}
+
+control::OperatorHooks VmDaemon::makeOperatorHooks()
+{
+    return {
+        [this] { return stateJson(); },
+        [this] {
+            return boost::json::serialize(boost::json::object {
+                { "revision", controller_->version() }, { "store_revision", watcher_->revision() } });
+        },
+        [] { return std::string("{}"); },
+        [this] { return collectMetrics(); },
+        [this] { return isReady(); },
+        [this](const std::string& id) { return entry_.findRecord(id); },
+    };
+}
+
+metrics::Snapshot VmDaemon::collectMetrics()
+{
+    const auto gauge = [&](const std::string& name, const std::string& help, auto value) {
+        metrics_.gauge("flamingousher_" + name, help).set(static_cast<double>(value));
+    };
+    gauge("configuration_version", "Version of the configuration in force.", controller_->version());
+    gauge("store_revision", "Revision of the store that this VM has seen.", watcher_->revision());
+    gauge("store_in_touch", "1 while the store answers.", watcher_->isInTouch() ? 1 : 0);
+    gauge("store_calls", "Calls to the store.", watcher_->counters().calls);
+    gauge("store_stale_calls", "Reads of the store that may be stale.", watcher_->counters().staleCalls);
+    gauge("store_failures", "Calls to the store that failed.", watcher_->counters().failures);
+    gauge("unreadable_entries", "Entries of the store that name no upstream.", controller_->unreadable());
+    metrics::Snapshot snapshot = metrics_.snapshot();
+    snapshot.merge(entry_.metrics());
+    return snapshot;
+}
+
+std::string VmDaemon::stateJson()
+{
+    return boost::json::serialize(boost::json::object {
+        { "node", settings_.name },
+        { "zone", settings_.zone },
+        { "ready", isReady() },
+        { "stopping", isStopping_ },
+        { "configuration", controller_->version() },
+        { "store_revision", watcher_->revision() },
+        { "entry", boost::json::parse(entry_.describeState()) },
+    });
+}
+
+bool VmDaemon::isReady()
+{
+    return !isStopping_ && controller_->mayServe();
+}
+
+void VmDaemon::runSignals()
+{
+    boost::asio::signal_set signals(control_.io(), SIGTERM, SIGINT, SIGHUP);
+    for (;;) {
+        boost::system::error_code error;
+        const int signal = signals.async_wait(runtime::useFiber[error]);
+        if (!error && signal != SIGHUP)
+            return;
+        reload();
+    }
+}
+
+// Ports and names of a running process stay; a file with faults changes nothing.
+void VmDaemon::reload()
+{
+    const auto settings = settings::loadVmSettings(settingsFile_);
+    if (!settings) {
+        log_.change("reload_failed", { { "reason", settings.error().front() } });
+        return;
+    }
+    settings_.seeds = settings->seeds;
+    settings_.shutdownTime = settings->shutdownTime;
+    log_.change("reloaded", { { "seeds", settings_.seeds.size() }, { "shutdown_ms", settings_.shutdownTime.count() } });
+}
+
+bool VmDaemon::runUntilStopped()
+{
+    return control_.call([this] {
+        runSignals();
+        return shutDown();
+    });
+}
+
+// The balancer first sees that the process is not ready. Requests that still arrive are served, with the word that
+// their connection closes; when no more can come and all are answered, the process ends.
+bool VmDaemon::shutDown()
+{
+    const base::TimePoint begin = std::chrono::steady_clock::now();
+    const base::TimePoint end = begin + settings_.shutdownTime - ExitMargin;
+    isStopping_ = true;
+    entry_.beginShutdown();
+    log_.change("stopping", { { "vm", settings_.name }, { "shutdown_ms", settings_.shutdownTime.count() } });
+    runtime::sleepFor(control_.io(), std::min<base::Duration>(BalancerNotice, end - begin));
+    while (!entry_.isIdle() && std::chrono::steady_clock::now() < end)
+        runtime::sleepFor(control_.io(), DrainCheckInterval);
+    entry_.closeListener();
+    while (!entry_.isIdle() && std::chrono::steady_clock::now() < end)
+        runtime::sleepFor(control_.io(), DrainCheckInterval);
+    const bool isClean = entry_.isIdle();
+    log_.change("stopped",
+        { { "vm", settings_.name }, { "clean", isClean },
+            { "took_ms", eventlog::milliseconds(std::chrono::steady_clock::now() - begin) } });
+    return isClean;
+}
+
+} // namespace flamingousher::daemon
--- /dev/null
+++ b/src/daemon/vmdaemon.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "control/directcontroller.h"
+#include "control/operatorserver.h"
+#include "entry/entrythread.h"
+#include "eventlog/eventlog.h"
+#include "http/server.h"
+#include "platform/storewatcher.h"
+#include "runtime/fiberthread.h"
+#include "settings/vmsettings.h"
+
+#include <memory>
+#include <string>
+
+namespace flamingousher::daemon {
+
+// The whole process on a platform with a metadata store: one control thread and the entry thread. All wiring between
+// modules stands here.
+class VmDaemon {
+public:
+    // settingsFile: read again at SIGHUP.
+    VmDaemon(settings::VmSettings, std::string settingsFile);
+
+    // Opens the ports. On failure returns one line that names the port.
+    tl::expected<void, std::string> start();
+
+    // Blocks until SIGTERM or SIGINT, then finishes what is in flight. Returns false when the time for it was over
+    // with requests in flight.
+    bool runUntilStopped();
+
+private:
+    platform::StoreWatcher::Hooks makeWatcherHooks();
+    control::OperatorHooks makeOperatorHooks();
+    metrics::Snapshot collectMetrics();
+    std::string stateJson();
+    void runTicks();
+    void runSignals();
+    void reload();
+    bool isReady();
+    bool shutDown();
+
+    settings::VmSettings settings_;
+    std::string settingsFile_;
+    std::function<void(const std::string&)> writeLog_;
+    runtime::FiberThread control_;
+    eventlog::EventLog log_; // of the control thread
+    entry::EntryThread entry_;
+    metrics::Registry metrics_;
+    std::unique_ptr<control::DirectController> controller_;
+    std::unique_ptr<platform::StoreWatcher> watcher_;
+    std::unique_ptr<http::Server> readiness_;
+    std::unique_ptr<http::Server> operators_;
+    runtime::Signal stopRequested_;
+    bool isStopping_ { false };
+};
+
+} // namespace flamingousher::daemon
--- /dev/null
+++ b/src/platform/callerprotocol.cpp
@@ -0,0 +1,160 @@
+#include "platform/callerprotocol.h"
+
+#include "platform/internal/recordmerge.h"
+#include "platform/names.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace flamingousher::platform {
+
+namespace beast = boost::beast;
+using base::Error;
+using base::ErrorCode;
+using base::RunState;
+using http::Request;
+using http::Response;
+using http::Status;
+
+namespace {
+
+    // Fields that concern one connection only, and those that this VM sets itself.
+    constexpr std::array NotForwarded { "connection", "keep-alive", "proxy-connection", "proxy-authenticate",
+        "proxy-authorization", "te", "trailer", "transfer-encoding", "upgrade", "content-length",
+        "flamingousher-deadline-ms", "flamingousher-target-instance" };
+
+    bool isForwarded(const beast::http::fields& fields, beast::string_view name)
+    {
+        if (std::ranges::any_of(NotForwarded, [&](const char* other) { return beast::iequals(name, other); }))
+            return false;
+        const auto connection = fields.find(beast::http::field::connection);
+        return connection == fields.end()
+            || !beast::http::token_list { connection->value() }.exists({ name.data(), name.size() });
+    }
+
+    std::string field(const Request& request, std::string_view name)
+    {
+        const auto found = request.find(beast::string_view { name.data(), name.size() });
+        return found == request.end() ? std::string() : std::string(found->value());
+    }
+
+    std::string makeHead(const Request& request)
+    {
+        std::string head(request.method_string());
+        head += ' ';
+        head += std::string_view(request.target().data(), request.target().size());
+        head += " HTTP/1.1\r\n";
+        for (const auto& entry : request) {
+            if (!isForwarded(request, entry.name_string()))
+                continue;
+            head += std::string_view(entry.name_string().data(), entry.name_string().size());
+            head += ": ";
+            head += std::string_view(entry.value().data(), entry.value().size());
+            head += "\r\n";
+        }
+        const bool hasBody
+            = !request.body().empty() || request.find(beast::http::field::content_length) != request.end();
+        if (hasBody)
+            head += "Content-Length: " + std::to_string(request.body().size()) + "\r\n";
+        return head;
+    }
+
+    tl::expected<entry::CallerCall, Error> decode(const Request& request)
+    {
+        entry::CallerCall call;
+        call.host = field(request, "Host");
+        const std::string_view target(request.target().data(), request.target().size());
+        call.path = std::string(target.substr(0, target.find('?')));
+        call.requestId = field(request, field::RequestId);
+        const std::string allowed = field(request, field::DeadlineMs);
+        std::int64_t milliseconds = 0;
+        const auto [end, error] = std::from_chars(allowed.data(), allowed.data() + allowed.size(), milliseconds);
+        if (!allowed.empty() && error == std::errc())
+            call.timeAllowed = std::chrono::milliseconds(std::max<std::int64_t>(0, milliseconds));
+        call.outbound = std::make_shared<const upstreamclient::OutboundCall>(
+            upstreamclient::OutboundCall { call.requestId, makeHead(request), request.body() });
+        return call;
+    }
+
+    Response makeResponse(const Request& request, Status status)
+    {
+        Response response { status, request.version() };
+        response.keep_alive(request.keep_alive());
+        return response;
+    }
+
+    Response encodeGathered(const Request& request, const entry::GatheredAnswer& answer)
+    {
+        std::vector<std::string_view> parts;
+        std::string stamps;
+        for (const upstreamclient::UpstreamReply& part : answer.parts) {
+            parts.emplace_back(part.response.body());
+            stamps += (stamps.empty() ? "" : ", ") + part.stamp;
+        }
+        Response response = makeResponse(request, Status::ok);
+        response.set(
+            beast::string_view(field::RequestId.data(), field::RequestId.size()), field(request, field::RequestId));
+        response.set(beast::string_view(field::PartStamps.data(), field::PartStamps.size()), stamps);
+        response.set(
+            beast::string_view(field::MissingParts.data(), field::MissingParts.size()), std::to_string(answer.missing));
+        response.body() = mergeGreatestRecords(parts, answer.recordLimit);
+        response.prepare_payload();
+        return response;
+    }
+
+    Response encodeSingle(const Request& request, upstreamclient::UpstreamReply&& reply)
+    {
+        Response response = makeResponse(request, Status::ok);
+        response.result(reply.response.result_int());
+        for (const auto& entry : reply.response) {
+            if (isForwarded(reply.response, entry.name_string()))
+                response.insert(entry.name_string(), entry.value());
+        }
+        response.body() = std::move(reply.response.body());
+        response.prepare_payload();
+        return response;
+    }
+
+    // 503 and 429 promise that the request has not run and never will; the others promise nothing.
+    Status statusOf(const Error& error)
+    {
+        if (error.code == ErrorCode::NoRoute)
+            return Status::not_found;
+        if (error.code == ErrorCode::BadRequest)
+            return Status::bad_request;
+        if (error.runState == RunState::NotRun)
+            return Status::service_unavailable;
+        return error.code == ErrorCode::DeadlineExceeded ? Status::gateway_timeout : Status::bad_gateway;
+    }
+
+    Response encodeError(
+        const Request& request, const std::string& requestId, const Error& error, base::Duration retryAfter)
+    {
+        Response response = makeResponse(request, statusOf(error));
+        response.set(beast::http::field::content_type, "application/json");
+        if (retryAfter > base::Duration::zero()) {
+            std::array<char, 32> seconds {};
+            std::snprintf(seconds.data(), seconds.size(), "%.3f", std::chrono::duration<double>(retryAfter).count());
+            response.set(beast::http::field::retry_after, seconds.data());
+        }
+        response.body() = boost::json::serialize(
+            boost::json::object { { "error", toString(error.code) }, { "step", toString(error.step) },
+                { "detail", error.detail }, { "run_state", toString(error.runState) }, { "request_id", requestId } });
+        response.prepare_payload();
+        return response;
+    }
+
+} // namespace
+
+entry::CallerProtocol makeCallerProtocol()
+{
+    return { decode, encodeGathered, encodeSingle, encodeError };
+}
+
+} // namespace flamingousher::platform
--- /dev/null
+++ b/src/platform/internal/base64.cpp
@@ -0,0 +1,24 @@
+#include "platform/internal/base64.h"
+
+#include <openssl/evp.h>
+
+namespace flamingousher::platform {
+
+std::optional<std::string> decodeBase64(std::string_view text)
+{
+    if (text.size() % 4 != 0)
+        return std::nullopt;
+    std::string bytes(text.size() / 4 * 3, '\0');
+    const int length = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+        reinterpret_cast<const unsigned char*>(text.data()), static_cast<int>(text.size()));
+    if (length < 0)
+        return std::nullopt;
+    // The decoder counts the padding as zero bytes.
+    std::size_t padding = 0;
+    while (padding < 2 && padding < text.size() && text[text.size() - 1 - padding] == '=')
+        ++padding;
+    bytes.resize(static_cast<std::size_t>(length) - padding);
+    return bytes;
+}
+
+} // namespace flamingousher::platform
--- /dev/null
+++ b/src/platform/internal/base64.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace flamingousher::platform {
+
+// Decodes standard base64 with padding. None when the text is not that.
+std::optional<std::string> decodeBase64(std::string_view text);
+
+} // namespace flamingousher::platform
--- /dev/null
+++ b/src/platform/standins/searcherstandin.cpp
@@ -0,0 +1,135 @@
+#include "platform/standins/searcherstandin.h"
+
+#include "platform/names.h"
+#include "runtime/sleep.h"
+
+#include <boost/json.hpp>
+
+#include <xxhash.h>
+
+namespace flamingousher::platform {
+
+namespace json = boost::json;
+
+namespace {
+
+    constexpr std::size_t RecordBytes = 16;
+    constexpr std::size_t RecordsOfAPart = 6;
+    constexpr std::chrono::milliseconds SlotStep { 1 };
+    constexpr std::chrono::hours Forever { 1 };
+
+    std::string value(const http::Request& request, std::string_view name)
+    {
+        const auto found = request.find(boost::beast::string_view(name.data(), name.size()));
+        return found == request.end() ? std::string() : std::string(found->value());
+    }
+
+    void set(http::Response& response, std::string_view name, const std::string& text)
+    {
+        response.set(boost::beast::string_view(name.data(), name.size()), text);
+    }
+
+} // namespace
+
+SearcherStandIn::SearcherStandIn(
+    boost::asio::io_context& io, std::string service, std::string id, const SearcherBehaviour& behaviour)
+    : io_(io)
+    , service_(std::move(service))
+    , id_(std::move(id))
+    , behaviour_(behaviour)
+    , server_(
+          io, {}, [this](const http::Request& request, http::Exchange& exchange) { return handle(request, exchange); })
+{
+}
+
+std::string SearcherStandIn::recordsOf(const std::string& service, const std::string& requestId)
+{
+    std::string records;
+    for (std::size_t index = 0; index < RecordsOfAPart; ++index) {
+        const std::string seed = service + ' ' + requestId + ' ' + std::to_string(index);
+        const auto hash = XXH3_128bits(seed.data(), seed.size());
+        XXH128_canonical_t bytes;
+        XXH128_canonicalFromHash(&bytes, hash);
+        records.append(reinterpret_cast<const char*>(bytes.digest), RecordBytes);
+    }
+    return records;
+}
+
+std::string SearcherStandIn::stampOf(const std::string& service, const std::string& requestId)
+{
+    return service + "." + requestId;
+}
+
+http::Response SearcherStandIn::handle(const http::Request& request, http::Exchange&)
+{
+    if (request.target().starts_with("/control"))
+        return control(request);
+    ++arrivals_;
+    const std::string expected = value(request, field::ExpectedUpstream);
+    if (!expected.empty() && expected != id_)
+        return refuse(request, http::Status::misdirected_request);
+    if (behaviour_.isSilent)
+        runtime::sleepFor(io_, Forever);
+    const std::string requestId = value(request, field::RequestId);
+    if (requestId.empty())
+        return refuse(request, http::Status::bad_request);
+    const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+    if (draw < behaviour_.refuseFraction || waiting_ >= behaviour_.queue)
+        return refuse(request, http::Status::service_unavailable);
+    return run(request, requestId);
+}
+
+http::Response SearcherStandIn::run(const http::Request& request, const std::string& requestId)
+{
+    ++waiting_;
+    while (running_ >= behaviour_.slots)
+        runtime::sleepFor(io_, SlotStep);
+    --waiting_;
+    ++running_;
+    ++runs_[requestId];
+    runtime::sleepFor(io_, std::chrono::milliseconds(behaviour_.serviceMs));
+    --running_;
+    const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+    const bool isFailing = draw < behaviour_.failFraction;
+    http::Response response
+        = http::makeResponse(request, isFailing ? http::Status::internal_server_error : http::Status::ok,
+            "application/octet-stream", recordsOf(service_, requestId));
+    set(response, field::RequestId, requestId);
+    set(response, field::Stamp, stampOf(service_, requestId));
+    if (!isFailing && draw < behaviour_.failFraction + behaviour_.loseFraction) {
+        // Too long a body for what follows: the caller sees a broken answer.
+        response.content_length(response.body().size() + 1'000);
+        response.keep_alive(false);
+    }
+    return response;
+}
+
+http::Response SearcherStandIn::refuse(const http::Request& request, http::Status status) const
+{
+    http::Response response = http::makeResponse(request, status, "text/plain", "");
+    set(response, field::NotRun, "1");
+    return response;
+}
+
+http::Response SearcherStandIn::control(const http::Request& request)
+{
+    const http::Target target = http::parseTarget({ request.target().data(), request.target().size() });
+    const auto number = [&](const char* name, auto& member) {
+        const std::string text = target.parameter(name);
+        if (!text.empty())
+            member = static_cast<std::remove_reference_t<decltype(member)>>(std::stod(text));
+    };
+    number("service_ms", behaviour_.serviceMs);
+    number("slots", behaviour_.slots);
+    number("refuse", behaviour_.refuseFraction);
+    number("fail", behaviour_.failFraction);
+    number("lose", behaviour_.loseFraction);
+    number("silent", behaviour_.isSilent);
+    json::object runs;
+    for (const auto& [id, count] : runs_)
+        runs[id] = count;
+    return http::makeJsonResponse(request, http::Status::ok,
+        json::serialize(json::object { { "arrivals", arrivals_ }, { "runs", std::move(runs) } }));
+}
+
+} // namespace flamingousher::platform
--- /dev/null
+++ b/src/platform/storeclient.cpp
@@ -0,0 +1,121 @@
+#include "platform/storeclient.h"
+
+#include "http/client.h"
+#include "runtime/usefiber.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace flamingousher::platform {
+
+namespace beast = boost::beast;
+using base::Error;
+using base::ErrorCode;
+using base::RunState;
+using base::Step;
+using boost::system::error_code;
+using runtime::useFiber;
+
+namespace {
+
+    constexpr std::chrono::milliseconds ConnectTimeout { 500 };
+
+    // Answers take 4 ms as a rule, and up to a second while the store is slow.
+    constexpr std::chrono::milliseconds ReadTimeout { 1'500 };
+
+    // Beyond the time that the store waits by itself.
+    constexpr std::chrono::milliseconds WatchMargin { 1'000 };
+
+    constexpr std::uint64_t MostAnswerBytes = 16ULL * 1024 * 1024;
+
+} // namespace
+
+StoreClient::StoreClient(boost::asio::io_context& io, http::Endpoint endpoint)
+    : io_(io)
+    , endpoint_(std::move(endpoint))
+    , peer_(http::toString(endpoint_))
+{
+}
+
+Error StoreClient::failed(ErrorCode code, Step step, const std::string& detail)
+{
+    ++counters_.failures;
+    return { code, step, peer_, detail, RunState::NotRun };
+}
+
+tl::expected<StorePage, Error> StoreClient::range(const std::string& prefix, const std::string& after, bool mayBeStale)
+{
+    std::string target = "/v1/kv-range?prefix=" + http::encodeParameter(prefix);
+    if (!after.empty())
+        target += "&after=" + http::encodeParameter(after);
+    if (mayBeStale)
+        target += "&allow-stale=1";
+    ++(mayBeStale ? counters_.staleCalls : counters_.calls);
+    const auto response = get(target, ReadTimeout);
+    return response ? decodeRange(peer_, response->body()) : tl::unexpected(response.error());
+}
+
+tl::expected<StorePage, Error> StoreClient::watch(
+    const std::string& prefix, std::uint64_t after, std::chrono::milliseconds wait)
+{
+    ++counters_.calls;
+    const auto response = get("/v1/kv-watch?prefix=" + http::encodeParameter(prefix) + "&after=" + std::to_string(after)
+            + "&wait-ms=" + std::to_string(wait.count()),
+        wait + WatchMargin);
+    return response ? decodeChanges(peer_, response->body()) : tl::unexpected(response.error());
+}
+
+tl::expected<http::Response, Error> StoreClient::get(const std::string& target, std::chrono::milliseconds timeout)
+{
+    auto response = getOnce(target, timeout);
+    if (!response) {
+        // Nothing more comes on a connection on which an answer was lost.
+        stream_.reset();
+        return response;
+    }
+    if (!response->keep_alive())
+        stream_.reset();
+    if (response->result() == http::Status::gone)
+        return tl::unexpected(failed(ErrorCode::VersionNotServed, Step::Receive, "the history is no longer kept"));
+    if (response->result() != http::Status::ok)
+        return tl::unexpected(
+            failed(ErrorCode::Shed, Step::Receive, "status " + std::to_string(response->result_int())));
+    return response;
+}
+
+tl::expected<void, Error> StoreClient::connect()
+{
+    stream_.emplace(io_);
+    buffer_.clear();
+    error_code error;
+    stream_->expires_after(ConnectTimeout);
+    stream_->async_connect(endpoint_, useFiber[error]);
+    if (error)
+        return tl::unexpected(failed(ErrorCode::Unreachable, Step::Connect, error.message()));
+    return {};
+}
+
+tl::expected<http::Response, Error> StoreClient::getOnce(const std::string& target, std::chrono::milliseconds timeout)
+{
+    if (!stream_) {
+        if (const auto connected = connect(); !connected)
+            return tl::unexpected(connected.error());
+    }
+    http::Request request { beast::http::verb::get, target, 11 };
+    request.set(beast::http::field::host, peer_);
+    error_code error;
+    stream_->expires_after(timeout);
+    beast::http::async_write(*stream_, request, useFiber[error]);
+    if (error)
+        return tl::unexpected(failed(ErrorCode::ConnectionLost, Step::Send, error.message()));
+    beast::http::response_parser<beast::http::string_body> parser;
+    parser.body_limit(MostAnswerBytes);
+    beast::http::async_read(*stream_, buffer_, parser, useFiber[error]);
+    if (error)
+        return tl::unexpected(failed(ErrorCode::ConnectionLost, Step::Receive, error.message()));
+    stream_->expires_never();
+    return parser.release();
+}
+
+} // namespace flamingousher::platform
--- /dev/null
+++ b/src/platform/tests/decodetests.cpp
@@ -0,0 +1,111 @@
+#include "platform/decode.h"
+
+#include <criterion/criterion.h>
+
+#include <random>
+
+using namespace flamingousher;
+using namespace flamingousher::platform;
+
+namespace {
+
+const std::string Config = R"({"version":7,"routes":[
+ {"name":"r1","host":"a.example","prefix":"/p/","route-type":"idempotent","timeout-ms":300,"goal-ms":50,"priority":0,
+  "gather":["s1","s2"],"max-attempts":2,"top-k":5,"min-coverage":0.75},
+ {"name":"r2","host":"a.example","prefix":"/q/","route-type":"non_idempotent","timeout-ms":3000,"goal-ms":1000,
+  "priority":2,"weighted-services":[{"service":"s3","weight":3},{"service":"s4","weight":1}],"max-attempts":1}],
+ "services":[{"name":"s1","health-path":"/health","max-conns":31,"protocol":"h1","tls":false}],
+ "limits":{"header-bytes":16384,"body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}})";
+
+const std::string Entry = R"({"service":"s1","address":"10.128.0.9:8080","zone":"z","version":"v1",)"
+                          R"("max-concurrency":3,"state":"ready","warmup-left-ms":1500,"seq":4,"born":1789547397004})";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+Test(Decode, readsAConfiguration)
+{
+    const auto configuration = decodeConfiguration(Config);
+    cr_assert(configuration.has_value());
+    cr_assert_eq(configuration->version, 7);
+    const routing::Route& gathering = configuration->routes.at(0);
+    cr_assert_eq(gathering.shards.size(), 2);
+    cr_assert_eq(gathering.recordLimit, 5);
+    cr_assert_float_eq(gathering.leastCoverage, 0.75, 1e-9);
+    cr_assert(gathering.isIdempotent);
+    const routing::Route& split = configuration->routes.at(1);
+    cr_assert(!split.isIdempotent);
+    cr_assert_eq(split.services.at(0).service, "s3");
+    cr_assert_float_eq(split.services.at(0).weight, 3, 1e-9);
+    cr_assert_eq(configuration->services.at(0).mostConnections, 31);
+    cr_assert_eq(configuration->limits.idleTimeout.count(), 15'000);
+}
+
+Test(Decode, refusesARouteToNowhere)
+{
+    cr_assert(!decodeConfiguration(replaced(Config, R"("gather":["s1","s2"])", R"("gather":[])")).has_value());
+    cr_assert(!decodeConfiguration(replaced(Config, R"("version":7)", R"("version":"7")")).has_value());
+    cr_assert(!decodeConfiguration("{").has_value());
+}
+
+Test(Decode, readsAnUpstream)
+{
+    const auto entry = decodeUpstream("servers/i-1", Entry);
+    cr_assert(entry.has_value());
+    cr_assert_eq(entry->id, "i-1");
+    cr_assert_eq(entry->startedAt, 1789547397004);
+    cr_assert_eq(entry->sequence, 4);
+    cr_assert_eq(entry->warmUpLeft.count(), 1'500);
+    cr_assert(!entry->isDraining);
+    cr_assert(decodeUpstream("servers/i-1", replaced(Entry, "ready", "draining"))->isDraining);
+}
+
+Test(Decode, refusesEntriesOfOtherWriters)
+{
+    for (const auto& [from, to] :
+        std::vector<std::pair<std::string, std::string>> { { R"("service":"s1",)", "" }, { R"("s1")", "7" },
+            { "10.128.0.9:8080", "somewhere" }, { R"("ready")", R"("asleep")" }, { R"("seq":4)", R"("seq":"4")" },
+            { R"("seq":4)", R"("seq":4.5)" }, { R"("max-concurrency":3)", R"("max-concurrency":true)" },
+            { R"("born":1789547397004)", R"("born":1.5)" } }) {
+        cr_assert(!decodeUpstream("servers/i-1", replaced(Entry, from, to)).has_value(), "%s", to.c_str());
+    }
+    cr_assert(!decodeUpstream("servers/", Entry).has_value());
+    cr_assert(!decodeUpstream("servers/i-1", "\xff\x00\x01").has_value());
+}
+
+Test(Decode, readsPagesAndChanges)
+{
+    const auto page = decodeRange("p",
+        R"({"items":[{"key":"a","value":"bm9kZS0x","revision":4,"create-revision":4,"lease":0}],"has-more":true,"as-of":9})");
+    cr_assert(page.has_value());
+    cr_assert_eq(page->items.at(0).value, "node-1");
+    cr_assert(page->hasMore);
+    cr_assert_eq(page->asOf, 9);
+    const auto changes = decodeChanges("p", R"({"events":[{"key":"a","revision":5,"deleted":true}],"as-of":10})");
+    cr_assert(changes->items.at(0).isDeleted);
+    cr_assert(!decodeRange("p", R"({"items":[{"key":"a","value":"%%%%","revision":4}],"as-of":9})").has_value());
+    cr_assert(!decodeRange("p", R"({"as-of":9})").has_value());
+}
+
+// Damaged answers must end as errors, whatever is damaged.
+Test(Decode, survivesDamagedInput)
+{
+    std::mt19937 random(11);
+    for (const std::string& whole : { Config, Entry }) {
+        for (int round = 0; round < 1'000; ++round) {
+            std::string damaged = whole;
+            for (std::uint32_t change = 0; change < 1 + random() % 4; ++change)
+                damaged[random() % damaged.size()] = static_cast<char>(random());
+            if (random() % 4 == 0)
+                damaged.resize(random() % damaged.size());
+            static_cast<void>(decodeConfiguration(damaged));
+            static_cast<void>(decodeUpstream("servers/i-1", damaged));
+            static_cast<void>(decodeRange("p", damaged));
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/tests/protocoltests.cpp
@@ -0,0 +1,138 @@
+#include "platform/callerprotocol.h"
+#include "platform/upstreamprotocol.h"
+
+#include <criterion/criterion.h>
+
+using namespace flamingousher;
+using namespace flamingousher::platform;
+using boost::beast::http::verb;
+using upstreamclient::ReplyKind;
+
+namespace {
+
+http::Request makeRequest(verb method = verb::get, const std::string& body = {})
+{
+    http::Request request { method, "/p/1?x=%20y", 11 };
+    request.set("Host", "a.example");
+    request.set("Flamingousher-Request-Id", "id-1");
+    request.set("Flamingousher-Deadline-Ms", "400");
+    request.set("Connection", "keep-alive, X-Hop");
+    request.set("X-Hop", "1");
+    request.set("X-Other", "kept");
+    request.body() = body;
+    if (!body.empty())
+        request.prepare_payload();
+    return request;
+}
+
+http::Response makeReply(unsigned status)
+{
+    http::Response response;
+    response.result(status);
+    response.version(11);
+    return response;
+}
+
+std::string field(const http::Response& response, const char* name)
+{
+    return std::string(response[name]);
+}
+
+} // namespace
+
+Test(CallerProtocol, readsWhatTheRouteNeeds)
+{
+    const auto call = makeCallerProtocol().decode(makeRequest());
+    cr_assert(call.has_value());
+    cr_assert_eq(call->host, "a.example");
+    cr_assert_eq(call->path, "/p/1");
+    cr_assert_eq(call->requestId, "id-1");
+    cr_assert_eq(call->timeAllowed->count(), 400);
+}
+
+Test(UpstreamProtocol, forwardsTheRequestUnchangedButForTheConnection)
+{
+    const auto call = makeCallerProtocol().decode(makeRequest(verb::post, "body"));
+    const std::string bytes = makeUpstreamProtocol().encode(*call->outbound, "i-7", std::chrono::microseconds(123'900));
+    cr_assert(bytes.starts_with("POST /p/1?x=%20y HTTP/1.1\r\n"), "%s", bytes.c_str());
+    cr_assert(bytes.find("X-Other: kept\r\n") != std::string::npos);
+    cr_assert(bytes.find("Flamingousher-Request-Id: id-1\r\n") != std::string::npos);
+    cr_assert(bytes.find("Flamingousher-Deadline-Ms: 123\r\n") != std::string::npos);
+    cr_assert(bytes.find("Flamingousher-Target-Instance: i-7\r\n") != std::string::npos);
+    cr_assert(bytes.find("Content-Length: 4\r\n") != std::string::npos);
+    cr_assert(bytes.find("X-Hop") == std::string::npos);
+    cr_assert(bytes.find("keep-alive") == std::string::npos);
+    cr_assert(bytes.ends_with("\r\n\r\nbody"));
+}
+
+Test(UpstreamProtocol, knowsWhatARefusalPromises)
+{
+    const auto protocol = makeUpstreamProtocol();
+    http::Response success = makeReply(200);
+    success.set("Flamingousher-Response-Stamp", "s");
+    success.set("Flamingousher-Request-Id", "id-1");
+    success.set("Keep-Alive", "timeout=5, max=9");
+    const auto reply = protocol.decode(http::Response(success));
+    cr_assert(reply.kind == ReplyKind::Success);
+    cr_assert_eq(reply.requestId, "id-1");
+    cr_assert_eq(reply.idleTimeout->count(), 5);
+    success.set("Content-Encoding", "gzip");
+    cr_assert(protocol.decode(http::Response(success)).kind == ReplyKind::Failure);
+    cr_assert(protocol.decode(makeReply(200)).kind == ReplyKind::Failure, "a success needs its proof");
+    cr_assert(protocol.decode(makeReply(503)).kind == ReplyKind::Failure, "503 alone promises nothing");
+    http::Response refused = makeReply(503);
+    refused.set("Flamingousher-Not-Executed", "1");
+    cr_assert(protocol.decode(std::move(refused)).kind == ReplyKind::NotRun);
+    cr_assert(protocol.decode(makeReply(421)).kind == ReplyKind::WrongUpstream);
+}
+
+Test(CallerProtocol, statesThePartsAndWhatIsMissing)
+{
+    entry::GatheredAnswer answer { {}, 2, 3 };
+    for (const char* stamp : { "a", "b" }) {
+        upstreamclient::UpstreamReply part;
+        part.stamp = stamp;
+        part.response.body() = std::string(16, *stamp);
+        answer.parts.push_back(std::move(part));
+    }
+    const http::Response response = makeCallerProtocol().encodeGathered(makeRequest(), answer);
+    cr_assert_eq(field(response, "Flamingousher-Part-Stamps"), "a, b");
+    cr_assert_eq(field(response, "Flamingousher-Missing-Parts"), "2");
+    cr_assert_eq(response.body(), std::string(16, 'b') + std::string(16, 'a'));
+}
+
+Test(CallerProtocol, passesOneUpstreamsAnswerOnUnchanged)
+{
+    upstreamclient::UpstreamReply reply;
+    reply.response = makeReply(500);
+    reply.response.set("Flamingousher-Response-Stamp", "s");
+    reply.response.set("Connection", "close");
+    reply.response.body() = "words";
+    const http::Response response = makeCallerProtocol().encodeSingle(makeRequest(), std::move(reply));
+    cr_assert_eq(response.result_int(), 500);
+    cr_assert_eq(field(response, "Flamingousher-Response-Stamp"), "s");
+    cr_assert_eq(response.body(), "words");
+    cr_assert(response.keep_alive(), "the upstream's connection is not the caller's");
+}
+
+Test(CallerProtocol, promisesNotRunOnlyWhenItIsProved)
+{
+    using base::Error;
+    using base::ErrorCode;
+    using base::RunState;
+    const auto protocol = makeCallerProtocol();
+    const auto status = [&](ErrorCode code, RunState runState) {
+        return protocol
+            .encodeError(makeRequest(), "id-1", Error { code, base::Step::Receive, {}, {}, runState },
+                std::chrono::milliseconds(150))
+            .result_int();
+    };
+    cr_assert_eq(status(ErrorCode::Overloaded, RunState::NotRun), 503);
+    cr_assert_eq(status(ErrorCode::ConnectionLost, RunState::Unknown), 502);
+    cr_assert_eq(status(ErrorCode::DeadlineExceeded, RunState::Unknown), 504);
+    cr_assert_eq(status(ErrorCode::DeadlineExceeded, RunState::NotRun), 503);
+    cr_assert_eq(status(ErrorCode::NoRoute, RunState::NotRun), 404);
+    const auto response = protocol.encodeError(makeRequest(), "id-1",
+        Error { ErrorCode::Overloaded, base::Step::Queue, {}, {}, RunState::NotRun }, std::chrono::milliseconds(150));
+    cr_assert_eq(field(response, "Retry-After"), "0.150");
+}
--- /dev/null
+++ b/src/platform/tests/storewatchertests.cpp
@@ -0,0 +1,171 @@
+#include "platform/storewatcher.h"
+
+#include "platform/standins/storestandin.h"
+#include "runtime/fiberthread.h"
+#include "runtime/sleep.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace flamingousher;
+using namespace flamingousher::platform;
+
+namespace {
+
+std::string upstream(int sequence, const std::string& state = "ready")
+{
+    return R"({"service":"s","address":"10.0.0.1:80","zone":"z","max-concurrency":3,"state":")" + state
+        + R"(","warmup-left-ms":0,"seq":)" + std::to_string(sequence) + "}";
+}
+
+std::string configuration(int version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+}
+
+// A store, and a watcher that notes what it is told. Everything runs on one thread.
+struct Harness {
+    explicit Harness(boost::asio::io_context& io, std::size_t pageItems = 500)
+        : io(io)
+        , store(io, pageItems)
+    {
+        store.listen({ boost::asio::ip::make_address("127.0.0.1"), 0 });
+    }
+
+    void start()
+    {
+        watcher = std::make_unique<StoreWatcher>(io, store.endpoint(),
+            StoreWatcher::Hooks {
+                [] { return 0U; },
+                [this](const routing::Configuration& told) { version = told.version; },
+                [this](const std::vector<discovery::UpstreamEntry>& entries) {
+                    ++lists;
+                    upstreams.clear();
+                    for (const auto& entry : entries)
+                        upstreams[entry.id] = entry;
+                },
+                [this](const discovery::UpstreamEntry& entry) { upstreams[entry.id] = entry; },
+                [this](const std::string& id) { upstreams.erase(id); },
+                [] {},
+                [this](const base::Error&) { ++lost; },
+                [this] { ++regained; },
+                [this](const base::Error&) { ++unreadable; },
+            });
+        runtime::spawnFiber([this] { watcher->run(); });
+    }
+
+    // Waits until the predicate holds; false when it does not in time.
+    template <typename Predicate> bool eventually(Predicate predicate)
+    {
+        for (int step = 0; step < 1'500; ++step) {
+            if (predicate())
+                return true;
+            runtime::sleepFor(io, std::chrono::milliseconds(2));
+        }
+        return false;
+    }
+
+    boost::asio::io_context& io;
+    StoreStandIn store;
+    std::unique_ptr<StoreWatcher> watcher;
+    std::map<std::string, discovery::UpstreamEntry> upstreams;
+    std::uint64_t version { 0 };
+    int lists { 0 };
+    int lost { 0 };
+    int regained { 0 };
+    int unreadable { 0 };
+};
+
+// The harness outlives its thread: a watcher's fiber never ends.
+template <typename Check> void withHarness(std::size_t pageItems, Check check)
+{
+    auto* thread = new runtime::FiberThread("test");
+    Harness* harness = nullptr;
+    thread->call([&] { harness = new Harness(thread->io(), pageItems); });
+    thread->call([&] { check(*harness); });
+}
+
+} // namespace
+
+Test(StoreWatcher, readsAllPagesAndFollowsChanges)
+{
+    withHarness(2, [](Harness& harness) {
+        harness.store.put("op/config", configuration(4));
+        for (int index = 0; index < 5; ++index)
+            harness.store.put("servers/i-" + std::to_string(index), upstream(1));
+        harness.start();
+        cr_assert(harness.eventually([&] { return harness.upstreams.size() == 5 && harness.version == 4; }));
+        harness.store.put("servers/i-9", upstream(1));
+        harness.store.erase("servers/i-0");
+        harness.store.put("op/config", configuration(6));
+        cr_assert(harness.eventually([&] {
+            return harness.version == 6 && harness.upstreams.contains("i-9") && !harness.upstreams.contains("i-0");
+        }));
+        cr_assert_eq(harness.lists, 1);
+    });
+}
+
+Test(StoreWatcher, passesOverEntriesThatItCannotRead)
+{
+    withHarness(500, [](Harness& harness) {
+        harness.store.put("servers/i-1", upstream(1));
+        harness.store.put("servers/i-2", "\xff not json");
+        harness.store.put("servers/i-3", R"({"service":"s"})");
+        harness.start();
+        cr_assert(harness.eventually([&] { return harness.unreadable == 2; }));
+        cr_assert_eq(harness.upstreams.size(), 1);
+    });
+}
+
+Test(StoreWatcher, readsAllAgainWhenTheHistoryHasGone)
+{
+    withHarness(500, [](Harness& harness) {
+        harness.store.put("servers/i-1", upstream(1));
+        harness.start();
+        cr_assert(harness.eventually([&] { return harness.upstreams.contains("i-1"); }));
+        harness.store.erase("servers/i-1");
+        harness.store.put("servers/i-2", upstream(1));
+        harness.store.compact();
+        harness.store.put("servers/i-3", upstream(1));
+        cr_assert(harness.eventually([&] {
+            return harness.upstreams.size() == 2 && harness.upstreams.contains("i-3")
+                && !harness.upstreams.contains("i-1");
+        }));
+    });
+}
+
+Test(StoreWatcher, saysOnceThatTheStoreIsLostAndRegained)
+{
+    withHarness(500, [](Harness& harness) {
+        harness.store.put("servers/i-1", upstream(1));
+        harness.start();
+        cr_assert(harness.eventually([&] { return harness.regained == 1 && harness.upstreams.size() == 1; }));
+        harness.store.setMode(StoreMode::Busy);
+        cr_assert(harness.eventually([&] { return harness.lost == 1; }));
+        runtime::sleepFor(harness.io, std::chrono::milliseconds(600));
+        cr_assert_eq(harness.lost, 1);
+        harness.store.put("servers/i-2", upstream(1));
+        harness.store.setMode(StoreMode::Limited);
+        runtime::sleepFor(harness.io, std::chrono::milliseconds(300));
+        harness.store.setMode(StoreMode::Serving);
+        cr_assert(harness.eventually([&] { return harness.regained == 2 && harness.upstreams.contains("i-2"); }));
+    });
+}
+
+// Changes come in series: each call that returns is paid for.
+Test(StoreWatcher, gathersChangesThatComeTogether)
+{
+    withHarness(500, [](Harness& harness) {
+        harness.store.put("servers/i-0", upstream(1));
+        harness.start();
+        cr_assert(harness.eventually([&] { return harness.upstreams.size() == 1; }));
+        const std::uint64_t before = harness.store.calls();
+        for (int index = 1; index < 40; ++index) {
+            harness.store.put("servers/i-" + std::to_string(index), upstream(1));
+            runtime::sleepFor(harness.io, std::chrono::milliseconds(10));
+        }
+        cr_assert(harness.eventually([&] { return harness.upstreams.size() == 40; }));
+        cr_assert_leq(harness.store.calls() - before, 5);
+    });
+}
--- /dev/null
+++ b/src/platform/upstreamprotocol.cpp
@@ -0,0 +1,84 @@
+#include "platform/upstreamprotocol.h"
+
+#include "platform/names.h"
+
+#include <charconv>
+
+namespace flamingousher::platform {
+
+namespace beast = boost::beast;
+using upstreamclient::ReplyKind;
+using upstreamclient::UpstreamReply;
+
+namespace {
+
+    std::string encode(
+        const upstreamclient::OutboundCall& call, const std::string& upstreamId, base::Duration remaining)
+    {
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+        std::string bytes;
+        bytes.reserve(call.head.size() + call.body.size() + 128);
+        bytes += call.head;
+        bytes += field::DeadlineMs;
+        bytes += ": ";
+        bytes += std::to_string(milliseconds);
+        bytes += "\r\n";
+        bytes += field::ExpectedUpstream;
+        bytes += ": ";
+        bytes += upstreamId;
+        bytes += "\r\n\r\n";
+        bytes += call.body;
+        return bytes;
+    }
+
+    std::string valueOf(const http::Response& response, std::string_view name)
+    {
+        const auto found = response.find(beast::string_view { name.data(), name.size() });
+        return found == response.end() ? std::string() : std::string(found->value());
+    }
+
+    // "timeout=5, max=100": the time in whole seconds after which an idle connection is closed.
+    std::optional<std::chrono::seconds> idleTimeout(const http::Response& response)
+    {
+        constexpr std::string_view Parameter = "timeout=";
+        const std::string text = valueOf(response, "Keep-Alive");
+        const std::size_t at = text.find(Parameter);
+        if (at == std::string::npos)
+            return std::nullopt;
+        std::uint32_t seconds = 0;
+        const auto [end, error]
+            = std::from_chars(text.data() + at + Parameter.size(), text.data() + text.size(), seconds);
+        return error == std::errc() ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
+    }
+
+    ReplyKind kindOf(const http::Response& response, const std::string& stamp)
+    {
+        if (response.result() == http::Status::misdirected_request)
+            return ReplyKind::WrongUpstream;
+        if (!valueOf(response, field::NotRun).empty())
+            return ReplyKind::NotRun;
+        const bool isSuccess = response.result_int() / 100 == 2;
+        // A success without its proof, or in an encoding that no caller asked for, is not the upstream's answer.
+        const bool isProved = !stamp.empty() && response.find(beast::http::field::content_encoding) == response.end();
+        return isSuccess && isProved ? ReplyKind::Success : ReplyKind::Failure;
+    }
+
+    UpstreamReply decode(http::Response&& response)
+    {
+        UpstreamReply reply;
+        reply.requestId = valueOf(response, field::RequestId);
+        reply.stamp = valueOf(response, field::Stamp);
+        reply.idleTimeout = idleTimeout(response);
+        reply.kind = kindOf(response, reply.stamp);
+        reply.response = std::move(response);
+        return reply;
+    }
+
+} // namespace
+
+upstreamclient::UpstreamProtocol makeUpstreamProtocol()
+{
+    return { encode, decode };
+}
+
+} // namespace flamingousher::platform
--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -1,12 +1,6 @@
 #include "settings/daemonsettings.h"
 
-#include "http/client.h"
-#include "tables/inidocument.h"
-#include "tables/sectionreader.h"
-
-#include <algorithm>
-#include <fstream>
-#include <sstream>
+#include "settings/internal/settingsreader.h"
 
 namespace flamingousher::settings {
 
@@ -16,71 +10,8 @@
     constexpr std::uint64_t MostTrafficThreads = 64;
     constexpr std::uint64_t LongestShutdownMs = 600'000;
 
-    using tables::Fault;
-    using tables::IniDocument;
-    using tables::IniSection;
     using tables::SectionReader;
 
-    // Reads the sections of a settings file; a section that is missing reads as empty.
-    class SettingsReader {
-    public:
-        SettingsReader(const std::string& file, const IniDocument& document)
-            : file_(file)
-            , document_(document)
-        {
-        }
-
-        template <typename Read> void section(const std::string& name, Read read)
-        {
-            known_.push_back(name);
-            const auto found = std::ranges::find(document_.sections, name, &IniSection::name);
-            const IniSection empty { name, {} };
-            SectionReader reader(file_, found == document_.sections.end() ? empty : *found, faults_);
-            read(reader);
-            reader.rejectUnknownKeys();
-        }
-
-        void addFault(const std::string& section, const std::string& key, const std::string& message)
-        {
-            faults_.push_back({ file_, section, key, message });
-        }
-
-        std::vector<Fault> finish()
-        {
-            for (const IniSection& section : document_.sections) {
-                if (std::ranges::find(known_, section.name) == known_.end())
-                    faults_.push_back({ file_, section.name, {}, "is not a known section" });
-            }
-            return faults_;
-        }
-
-    private:
-        std::string file_;
-        const IniDocument& document_;
-        std::vector<std::string> known_;
-        std::vector<Fault> faults_;
-    };
-
-    http::Endpoint readEndpoint(SectionReader& reader, const std::string& key)
-    {
-        const std::string text = reader.text(key);
-        const auto endpoint = http::parseEndpoint(text);
-        if (endpoint)
-            return *endpoint;
-        if (!text.empty())
-            reader.addFault(key, endpoint.error());
-        return {};
-    }
-
-    std::string readChoice(SectionReader& reader, const std::string& key, const std::vector<std::string>& choices,
-        const std::string& fallback)
-    {
-        std::string value = reader.text(key, fallback);
-        if (std::ranges::find(choices, value) == choices.end())
-            reader.addFault(key, "'" + value + "' is not one of the known values");
-        return value;
-    }
-
     DaemonSettings readAll(SettingsReader& reader)
     {
         DaemonSettings settings;
@@ -143,28 +74,16 @@
 
 tl::expected<DaemonSettings, std::vector<std::string>> loadSettings(const std::string& file)
 {
-    std::ifstream stream(file);
-    if (!stream)
-        return tl::unexpected(std::vector<std::string> { file + ": cannot be read" });
-    std::ostringstream text;
-    text << stream.rdbuf();
-    return parseSettings(file, text.str());
+    return readFile(file).and_then([&](const std::string& text) { return parseSettings(file, text); });
 }
 
 tl::expected<DaemonSettings, std::vector<std::string>> parseSettings(const std::string& file, const std::string& text)
 {
-    const auto document = tables::parseIni(text);
-    if (!document)
-        return tl::unexpected(std::vector<std::string> { file + ": " + document.error() });
-    SettingsReader reader(file, *document);
-    DaemonSettings settings = readAll(reader);
-    checkPorts(settings, reader);
-    std::vector<std::string> lines;
-    for (const Fault& fault : reader.finish())
-        lines.push_back(toString(fault));
-    if (lines.empty())
+    return readSettings<DaemonSettings>(file, text, [](SettingsReader& reader) {
+        DaemonSettings settings = readAll(reader);
+        checkPorts(settings, reader);
         return settings;
-    return tl::unexpected(std::move(lines));
+    });
 }
 
 } // namespace flamingousher::settings
--- /dev/null
+++ b/src/settings/internal/settingsreader.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "http/client.h"
+#include "tables/inidocument.h"
+#include "tables/sectionreader.h"
+
+#include <tl/expected.hpp>
+
+#include <string>
+#include <vector>
+
+namespace flamingousher::settings {
+
+// Reads the sections of a settings file; a section that is missing reads as empty.
+class SettingsReader {
+public:
+    SettingsReader(const std::string& file, const tables::IniDocument&);
+
+    template <typename Read> void section(const std::string& name, Read read)
+    {
+        known_.push_back(name);
+        const tables::IniSection found = find(name);
+        tables::SectionReader reader(file_, found, faults_);
+        read(reader);
+        reader.rejectUnknownKeys();
+    }
+
+    void addFault(const std::string& section, const std::string& key, const std::string& message);
+
+    // All faults, with those of sections that nobody has asked for.
+    std::vector<tables::Fault> finish();
+
+private:
+    tables::IniSection find(const std::string& name) const;
+
+    std::string file_;
+    const tables::IniDocument& document_;
+    std::vector<std::string> known_;
+    std::vector<tables::Fault> faults_;
+};
+
+// Reads "IP:port". Adds a fault when the text is something else.
+http::Endpoint readEndpoint(tables::SectionReader&, const std::string& key);
+
+std::string readChoice(tables::SectionReader&, const std::string& key, const std::vector<std::string>& choices,
+    const std::string& fallback);
+
+tl::expected<std::string, std::vector<std::string>> readFile(const std::string& file);
+
+// Parses the text and reads settings out of it. On failure lists every fault.
+template <typename Settings, typename Read>
+tl::expected<Settings, std::vector<std::string>> readSettings(
+    const std::string& file, const std::string& text, Read read)
+{
+    const auto document = tables::parseIni(text);
+    if (!document)
+        return tl::unexpected(std::vector<std::string> { file + ": " + document.error() });
+    SettingsReader reader(file, *document);
+    Settings settings = read(reader);
+    std::vector<std::string> lines;
+    for (const tables::Fault& fault : reader.finish())
+        lines.push_back(toString(fault));
+    if (lines.empty())
+        return settings;
+    return tl::unexpected(std::move(lines));
+}
+
+} // namespace flamingousher::settings
--- /dev/null
+++ b/src/settings/tests/vmsettingstests.cpp
@@ -0,0 +1,73 @@
+#include "settings/vmsettings.h"
+
+#include <criterion/criterion.h>
+
+using namespace flamingousher::settings;
+
+namespace {
+
+const std::string Complete = R"([node]
+name = vm-1
+address = 10.1.0.39
+zone = a
+region = r
+zones = a=r,b=r
+shutdown_ms = 6000
+[listen]
+callers = 10.1.0.39:8226
+readiness = 10.1.0.39:8227
+operators = 10.1.0.39:9180
+[platform]
+kind = store
+store = 10.200.1.7:8229
+[peers]
+gossip = 10.1.0.39:7740
+seeds = 10.1.0.39:7740, 10.2.0.33:7740
+[retries]
+ratio = 0.2
+slack = 58
+window_ms = 10000
+)";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+Test(VmSettings, areReadWhole)
+{
+    const auto settings = parseVmSettings("f", Complete);
+    cr_assert(settings.has_value());
+    cr_assert_eq(settings->name, "vm-1");
+    cr_assert_eq(settings->regions.at("b"), "r");
+    cr_assert_eq(settings->store.port(), 8229);
+    cr_assert_eq(settings->seeds.size(), 2);
+    cr_assert_float_eq(settings->retrySlack, 58, 1e-9);
+    cr_assert_eq(settings->shutdownTime.count(), 6000);
+}
+
+Test(VmSettings, nameFileSectionAndKeyOfEachFault)
+{
+    const auto settings
+        = parseVmSettings("f", replaced(replaced(Complete, "10.200.1.7:8229", "store"), "ratio = 0.2", "ratio = x"));
+    cr_assert(!settings.has_value());
+    cr_assert_eq(settings.error().size(), 2);
+    cr_assert(settings.error().at(0).find("f") != std::string::npos);
+    cr_assert(settings.error().at(0).find("store") != std::string::npos);
+    cr_assert(settings.error().at(1).find("ratio") != std::string::npos);
+}
+
+Test(VmSettings, rejectWhatIsNotKnown)
+{
+    cr_assert(!parseVmSettings("f", Complete + "[extra]\na = 1\n").has_value());
+    cr_assert(!parseVmSettings("f", replaced(Complete, "zones = a=r,b=r", "zones = a")).has_value());
+}
+
+Test(PlatformKind, isChosenByTheSettings)
+{
+    cr_assert(platformKind(Complete) == PlatformKind::Store);
+    cr_assert(platformKind("[platform]\nconfiguration = 127.0.0.1:1\n") == PlatformKind::Tables);
+}
--- /dev/null
+++ b/src/settings/vmsettings.cpp
@@ -0,0 +1,115 @@
+#include "settings/vmsettings.h"
+
+#include "settings/internal/settingsreader.h"
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+
+#include <algorithm>
+
+namespace flamingousher::settings {
+
+namespace {
+
+    constexpr std::uint64_t LongestShutdownMs = 600'000;
+    constexpr std::uint64_t LongestRetryWindowMs = 600'000;
+    constexpr std::uint64_t MostRetrySlack = 1'000'000;
+
+    using tables::SectionReader;
+
+    std::vector<std::string> readList(SectionReader& section, const std::string& key)
+    {
+        std::vector<std::string> items;
+        boost::algorithm::split(items, section.text(key, std::string()), boost::algorithm::is_any_of(","));
+        for (std::string& item : items)
+            boost::algorithm::trim(item);
+        std::erase(items, std::string());
+        return items;
+    }
+
+    std::map<std::string, std::string> readZones(SectionReader& section)
+    {
+        std::map<std::string, std::string> zones;
+        for (const std::string& item : readList(section, "zones")) {
+            const std::size_t equals = item.find('=');
+            if (equals == std::string::npos) {
+                section.addFault("zones", "'" + item + "' is not of the form ZONE=REGION");
+                continue;
+            }
+            zones.emplace(item.substr(0, equals), item.substr(equals + 1));
+        }
+        return zones;
+    }
+
+    std::chrono::milliseconds readTime(SectionReader& section, const std::string& key, std::uint64_t least,
+        std::uint64_t most, std::chrono::milliseconds fallback)
+    {
+        return std::chrono::milliseconds(
+            section.integer(key, least, most, static_cast<std::uint64_t>(fallback.count())));
+    }
+
+    VmSettings readAll(SettingsReader& reader)
+    {
+        VmSettings settings;
+        reader.section("node", [&](SectionReader& section) {
+            settings.name = section.text("name");
+            settings.address = section.text("address");
+            settings.zone = section.text("zone");
+            settings.region = section.text("region", "default");
+            settings.shutdownTime = readTime(section, "shutdown_ms", 1'000, LongestShutdownMs, settings.shutdownTime);
+            settings.regions = readZones(section);
+        });
+        reader.section("listen", [&](SectionReader& section) {
+            settings.callers = readEndpoint(section, "callers");
+            settings.readiness = readEndpoint(section, "readiness");
+            settings.operators = readEndpoint(section, "operators");
+        });
+        reader.section("platform", [&](SectionReader& section) {
+            readChoice(section, "kind", { "store" }, "store");
+            settings.store = readEndpoint(section, "store");
+        });
+        reader.section("peers", [&](SectionReader& section) {
+            settings.gossip = readEndpoint(section, "gossip");
+            settings.seeds = readList(section, "seeds");
+            for (const std::string& seed : settings.seeds) {
+                if (const auto endpoint = http::parseEndpoint(seed); !endpoint)
+                    section.addFault("seeds", endpoint.error());
+            }
+        });
+        reader.section("retries", [&](SectionReader& section) {
+            settings.retryRatio = section.fraction("ratio", settings.retryRatio);
+            settings.retrySlack = static_cast<double>(section.integer("slack", 0, MostRetrySlack, 0));
+            settings.retryWindow = readTime(section, "window_ms", 100, LongestRetryWindowMs, settings.retryWindow);
+        });
+        return settings;
+    }
+
+} // namespace
+
+PlatformKind platformKind(const std::string& text)
+{
+    const auto document = tables::parseIni(text);
+    if (!document)
+        return PlatformKind::Tables;
+    for (const tables::IniSection& section : document->sections) {
+        const bool isStore = section.name == "platform"
+            && std::ranges::find(section.entries, std::pair<std::string, std::string>("kind", "store"))
+                != section.entries.end();
+        if (isStore)
+            return PlatformKind::Store;
+    }
+    return PlatformKind::Tables;
+}
+
+tl::expected<VmSettings, std::vector<std::string>> loadVmSettings(const std::string& file)
+{
+    return readFile(file).and_then([&](const std::string& text) { return parseVmSettings(file, text); });
+}
+
+tl::expected<VmSettings, std::vector<std::string>> parseVmSettings(const std::string& file, const std::string& text)
+{
+    return readSettings<VmSettings>(file, text, readAll);
+}
+
+} // namespace flamingousher::settings
