Let one VM of each zone read the store, and share connections among VMs

Cause: every VM read the store itself and kept as many connections as twelve VMs may.

Change: VMs find each other by the membership core; one of each zone follows the store, the others follow it and fall back on one another and on the store; a VM that hears of newer contents asks who told it. Connections are dealt out by rendezvous, own zone first. A pool whose new connections are reset before any answer backs off. A relay tells newer contents even when it is not fresh.

--- a/src/control/directcontroller.cpp
+++ b/src/control/directcontroller.cpp
@@ -2,18 +2,29 @@
 
 namespace flamingousher::control {
 
+namespace {
+
+    // Lines for changes that come together; a VM that starts finds all upstreams at once.
+    constexpr std::size_t MostLoggedChanges = 8;
+
+} // namespace
+
 DirectController::DirectController(eventlog::EventLog& log, Hooks hooks)
     : log_(log)
     , hooks_(std::move(hooks))
-    , registry_([this](const discovery::UpstreamEntry& entry, const char* change) {
-        log_.change("upstream",
-            { { "change", change }, { "upstream", entry.id }, { "service", entry.service },
-                { "endpoint", entry.endpoint }, { "zone", entry.zone }, { "started_at", entry.startedAt },
-                { "sequence", entry.sequence } });
-    })
+    , registry_([this](const discovery::UpstreamEntry& entry, const char* change) { noteChange(entry, change); })
 {
 }
 
+void DirectController::noteChange(const discovery::UpstreamEntry& entry, const char* change)
+{
+    if (++unpublished_ > MostLoggedChanges)
+        return;
+    log_.change("upstream",
+        { { "change", change }, { "upstream", entry.id }, { "service", entry.service }, { "endpoint", entry.endpoint },
+            { "zone", entry.zone }, { "started_at", entry.startedAt }, { "sequence", entry.sequence } });
+}
+
 void DirectController::onConfiguration(const routing::Configuration& configuration)
 {
     if (configuration.version <= version_) {
@@ -67,6 +78,9 @@
     if (registry_.changes() == publishedChanges_)
         return;
     publishedChanges_ = registry_.changes();
+    const std::size_t changes = std::exchange(unpublished_, 0);
+    if (changes > MostLoggedChanges)
+        log_.change("upstreams", { { "changes", changes }, { "known", registry_.upstreams().size() } });
     hooks_.applyUpstreams(registry_.upstreams());
 }
 
--- a/src/control/directcontroller.h
+++ b/src/control/directcontroller.h
@@ -44,12 +44,15 @@
     std::uint64_t unreadable() const { return unreadable_; }
 
 private:
+    void noteChange(const discovery::UpstreamEntry&, const char* change);
+
     eventlog::EventLog& log_;
     Hooks hooks_;
     discovery::Registry registry_;
     std::uint64_t version_ { 0 };
     std::uint64_t publishedChanges_ { 0 };
     std::uint64_t unreadable_ { 0 };
+    std::size_t unpublished_ { 0 }; // changes since the last publication
 };
 
 } // namespace flamingousher::control
--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -26,6 +26,27 @@
 
     constexpr std::chrono::milliseconds DrainCheckInterval { 20 };
 
+    // A VM that hears of newer contents and does not get them from its source within this time asks who told it.
+    constexpr std::chrono::milliseconds CatchUpTime { 300 };
+
+    // A view of the fleet is used once it has not changed for the first time, and at the latest after the second: VMs
+    // that start together find each other within a second, and half a view would give each too many connections.
+    constexpr base::Duration FleetSettleTime = std::chrono::milliseconds(700);
+    constexpr base::Duration LongestFleetDelay = std::chrono::milliseconds(2'500);
+
+    std::uint64_t makeBootNumber()
+    {
+        std::random_device random;
+        return (static_cast<std::uint64_t>(random()) << 32) | random();
+    }
+
+    peers::PeerIdentity makeIdentity(const settings::VmSettings& settings)
+    {
+        return { { { http::toString(settings.gossip), makeBootNumber() }, settings.zone, settings.region,
+                     http::toString(settings.operators), 1 },
+            settings.peerKey };
+    }
+
     entry::EntrySettings makeEntrySettings(const settings::VmSettings& settings)
     {
         entry::EntrySettings entry;
@@ -49,6 +70,8 @@
     , control_("control")
     , log_({}, { [] { return std::chrono::steady_clock::now(); }, writeLog_ })
     , entry_(makeEntrySettings(settings_), platform::makeCallerProtocol(), platform::makeUpstreamProtocol(), writeLog_)
+    , identity_(makeIdentity(settings_))
+    , sources_(http::toString(settings_.store))
 {
 }
 
@@ -61,11 +84,15 @@
                 [this](std::vector<discovery::KnownUpstream> upstreams) {
                     entry_.applyUpstreams(std::move(upstreams));
                 } });
-        watcher_ = std::make_unique<platform::StoreWatcher>(control_.io(), settings_.store, makeWatcherHooks());
+        fleet_ = std::make_unique<control::FleetMember>(control_.io(), identity_, makeFleetHooks());
+        fleet_->setSeeds(settings_.seeds);
+        fleetAppliedAt_ = std::chrono::steady_clock::now();
+        watcher_ = std::make_unique<platform::StoreWatcher>(control_.io(), makeWatcherHooks());
+        relay_ = std::make_unique<platform::StoreRelay>(
+            control_.io(), watcher_->mirror(), [this] { return watcher_->isFresh(); });
         readiness_ = std::make_unique<http::Server>(
             control_.io(), http::ServerLimits {}, platform::makeReadinessHandler([this] { return isReady(); }));
-        operators_ = std::make_unique<http::Server>(
-            control_.io(), http::ServerLimits {}, control::makeOperatorHandler(makeOperatorHooks()));
+        operators_ = std::make_unique<http::Server>(control_.io(), http::ServerLimits {}, makeOperatorsHandler());
     });
     const auto failed = [](const std::string& what, const http::Endpoint& endpoint, const auto& error) {
         return tl::unexpected(what + " " + http::toString(endpoint) + ": " + error.message());
@@ -74,6 +101,8 @@
         return failed("readiness port", settings_.readiness, error);
     if (const auto error = control_.call([this] { return operators_->listen(settings_.operators); }))
         return failed("operators' port", settings_.operators, error);
+    if (const auto error = control_.call([this] { return fleet_->listen(settings_.gossip); }))
+        return failed("gossip port", settings_.gossip, error);
     if (auto listening = entry_.listen(); !listening)
         return listening;
     control_.call([this] {
@@ -84,31 +113,107 @@
                 { "retry_slack", settings_.retrySlack } });
     });
     control_.post([this] { watcher_->run(); });
+    control_.post([this] { fleet_->run(); });
     control_.post([this] { runTicks(); });
     return {};
 }
 
 platform::StoreWatcher::Hooks VmDaemon::makeWatcherHooks()
 {
+    using Source = platform::StoreWatcher::Source;
     const auto random = std::make_shared<std::mt19937>(std::random_device {}());
     return {
+        [] { return std::chrono::steady_clock::now(); },
         [random] { return (*random)(); },
+        [this] { return chooseSource(); },
+        [this](const Source& source, const base::Error& error) {
+            sources_.onFailed({ http::toString(source.endpoint), source.isStore }, std::chrono::steady_clock::now());
+            log_.decision("source_failed",
+                { { "source", http::toString(source.endpoint) }, { "is_store", source.isStore },
+                    { "reason", toString(error) } });
+        },
         [this](const routing::Configuration& configuration) { controller_->onConfiguration(configuration); },
         [this](const std::vector<discovery::UpstreamEntry>& entries) { controller_->onAllUpstreams(entries); },
         [this](const discovery::UpstreamEntry& entry) { controller_->onUpstream(entry); },
         [this](const std::string& id) { controller_->onUpstreamGone(id); },
-        [this] { controller_->publish(); },
+        [this](const Source& source) { onCaughtUp(source); },
         [this](const base::Error& error) { controller_->onStoreLost(error); },
-        [this] { controller_->onStoreRegained(); },
+        [this](const Source&) { controller_->onStoreRegained(); },
         [this](const base::Error& error) { controller_->onUnreadable(error); },
     };
 }
 
+platform::StoreWatcher::Source VmDaemon::chooseSource()
+{
+    // The first read is the store's, for a VM that has just started knows nobody.
+    const auto source = sources_.choose(fleet_->nodes(), fleet_->self(), std::chrono::steady_clock::now());
+    // Sources are endpoints that VMs have told of themselves; a wrong one is as good as none.
+    const auto endpoint = http::parseEndpoint(source.endpoint);
+    const platform::StoreWatcher::Source chosen = endpoint
+        ? platform::StoreWatcher::Source { *endpoint, source.isStore }
+        : platform::StoreWatcher::Source { settings_.store, true };
+    if (chosen != lastSource_)
+        log_.decision("source", { { "source", http::toString(chosen.endpoint) }, { "is_store", chosen.isStore } });
+    lastSource_ = chosen;
+    return chosen;
+}
+
+void VmDaemon::onCaughtUp(const platform::StoreWatcher::Source& source)
+{
+    controller_->publish();
+    relay_->onChanged();
+    fleet_->setRevision(watcher_->revision(), source.isStore);
+}
+
+control::FleetMember::Hooks VmDaemon::makeFleetHooks()
+{
+    return {
+        [this] {
+            isFleetNew_ = true;
+            fleetChangedAt_ = std::chrono::steady_clock::now();
+        },
+        [this](const fleet::NodeInfo& from, std::uint64_t revision) { onPeerRevision(from, revision); },
+    };
+}
+
+// Members come and go in series, and each change of the view costs a look at every upstream.
+void VmDaemon::applyFleet()
+{
+    const base::TimePoint now = std::chrono::steady_clock::now();
+    const bool isSettled = now - fleetChangedAt_ >= FleetSettleTime || now - fleetAppliedAt_ >= LongestFleetDelay;
+    if (!isFleetNew_ || !isSettled)
+        return;
+    isFleetNew_ = false;
+    fleetAppliedAt_ = now;
+    const auto nodes = fleet_->nodes();
+    log_.change("fleet", { { "vms", nodes.size() }, { "before", vms_ } });
+    vms_ = nodes.size();
+    entry_.applyFleet(nodes, fleet_->self());
+}
+
+void VmDaemon::onPeerRevision(const fleet::NodeInfo& from, std::uint64_t revision)
+{
+    if (revision <= watcher_->revision() || std::exchange(isCatchingUp_, true))
+        return;
+    control_.post([this, from, revision] {
+        runtime::sleepFor(control_.io(), CatchUpTime);
+        isCatchingUp_ = false;
+        if (revision <= watcher_->revision())
+            return;
+        log_.decision("source_behind",
+            { { "source", http::toString(lastSource_.endpoint) }, { "revision", watcher_->revision() },
+                { "newer", revision }, { "at", from.operators } });
+        sources_.prefer(from.operators, std::chrono::steady_clock::now());
+        watcher_->reconsider();
+    });
+}
+
 void VmDaemon::runTicks()
 {
     for (;;) {
         runtime::sleepFor(control_.io(), TickInterval);
         controller_->tick();
+        applyFleet();
     }
 }
 
@@ -120,13 +225,34 @@
             return boost::json::serialize(boost::json::object {
                 { "revision", controller_->version() }, { "store_revision", watcher_->revision() } });
         },
-        [] { return std::string("{}"); },
+        [this] { return fleetJson(); },
         [this] { return collectMetrics(); },
         [this] { return isReady(); },
         [this](const std::string& id) { return entry_.findRecord(id); },
     };
 }
 
+// Other VMs read the store's contents at the operators' port.
+http::Handler VmDaemon::makeOperatorsHandler()
+{
+    return [this, operators = control::makeOperatorHandler(makeOperatorHooks())](
+               const http::Request& request, http::Exchange& exchange) {
+        const http::Target target = http::parseTarget({ request.target().data(), request.target().size() });
+        return platform::StoreRelay::isForRelay(target) ? relay_->handle(request, target)
+                                                        : operators(request, exchange);
+    };
+}
+
+std::string VmDaemon::fleetJson()
+{
+    boost::json::array vms;
+    for (const fleet::NodeInfo& vm : fleet_->nodes())
+        vms.push_back(
+            boost::json::object { { "endpoint", vm.id.endpoint }, { "zone", vm.zone }, { "operators", vm.operators } });
+    return boost::json::serialize(boost::json::object { { "vms", std::move(vms) },
+        { "watches_store", fleet::SourceChooser::isWatcher(fleet_->nodes(), fleet_->self()) } });
+}
+
 metrics::Snapshot VmDaemon::collectMetrics()
 {
     const auto gauge = [&](const std::string& name, const std::string& help, auto value) {
@@ -134,10 +260,13 @@
     };
     gauge("configuration_version", "Version of the configuration in force.", controller_->version());
     gauge("store_revision", "Revision of the store that this VM has seen.", watcher_->revision());
-    gauge("store_in_touch", "1 while the store answers.", watcher_->isInTouch() ? 1 : 0);
-    gauge("store_calls", "Calls to the store.", watcher_->counters().calls);
-    gauge("store_stale_calls", "Reads of the store that may be stale.", watcher_->counters().staleCalls);
-    gauge("store_failures", "Calls to the store that failed.", watcher_->counters().failures);
+    gauge("store_fresh", "1 while this VM reads the store itself and is up to date.", watcher_->isFresh() ? 1 : 0);
+    gauge("store_calls", "Calls to the store itself.", watcher_->storeCalls());
+    gauge("source_calls", "Calls to the store and to VMs that pass its contents on.", watcher_->counters().calls);
+    gauge("source_failures", "Such calls that failed.", watcher_->counters().failures);
+    gauge("fleet_vms", "VMs of the fleet that are alive, with this one.", fleet_->nodes().size());
+    gauge("peer_bytes_sent", "Bytes of datagrams sent to other VMs.", fleet_->counters().bytesSent);
+    gauge("peer_messages_refused", "Messages of other VMs refused.", fleet_->counters().refused);
     gauge("unreadable_entries", "Entries of the store that name no upstream.", controller_->unreadable());
     metrics::Snapshot snapshot = metrics_.snapshot();
     snapshot.merge(entry_.metrics());
@@ -183,6 +312,7 @@
         return;
     }
     settings_.seeds = settings->seeds;
+    fleet_->setSeeds(settings_.seeds);
     settings_.shutdownTime = settings->shutdownTime;
     log_.change("reloaded", { { "seeds", settings_.seeds.size() }, { "shutdown_ms", settings_.shutdownTime.count() } });
 }
@@ -210,6 +340,7 @@
     entry_.closeListener();
     while (!entry_.isIdle() && std::chrono::steady_clock::now() < end)
         runtime::sleepFor(control_.io(), DrainCheckInterval);
+    fleet_->leave();
     const bool isClean = entry_.isIdle();
     log_.change("stopped",
         { { "vm", settings_.name }, { "clean", isClean },
--- a/src/daemon/vmdaemon.h
+++ b/src/daemon/vmdaemon.h
@@ -1,10 +1,13 @@
 #pragma once
 
 #include "control/directcontroller.h"
+#include "control/fleetmember.h"
 #include "control/operatorserver.h"
 #include "entry/entrythread.h"
 #include "eventlog/eventlog.h"
+#include "fleet/sourcechooser.h"
 #include "http/server.h"
+#include "platform/storerelay.h"
 #include "platform/storewatcher.h"
 #include "runtime/fiberthread.h"
 #include "settings/vmsettings.h"
@@ -30,7 +33,14 @@
 
 private:
     platform::StoreWatcher::Hooks makeWatcherHooks();
+    control::FleetMember::Hooks makeFleetHooks();
     control::OperatorHooks makeOperatorHooks();
+    http::Handler makeOperatorsHandler();
+    platform::StoreWatcher::Source chooseSource();
+    void applyFleet();
+    void onPeerRevision(const fleet::NodeInfo& from, std::uint64_t revision);
+    void onCaughtUp(const platform::StoreWatcher::Source&);
+    std::string fleetJson();
     metrics::Snapshot collectMetrics();
     std::string stateJson();
     void runTicks();
@@ -47,7 +57,17 @@
     entry::EntryThread entry_;
     metrics::Registry metrics_;
     std::unique_ptr<control::DirectController> controller_;
+    peers::PeerIdentity identity_;
+    std::unique_ptr<control::FleetMember> fleet_;
+    fleet::SourceChooser sources_;
+    platform::StoreWatcher::Source lastSource_;
     std::unique_ptr<platform::StoreWatcher> watcher_;
+    std::unique_ptr<platform::StoreRelay> relay_;
+    std::size_t vms_ { 0 };
+    bool isCatchingUp_ { false };
+    bool isFleetNew_ { false };
+    base::TimePoint fleetChangedAt_;
+    base::TimePoint fleetAppliedAt_;
     std::unique_ptr<http::Server> readiness_;
     std::unique_ptr<http::Server> operators_;
     runtime::Signal stopRequested_;
--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -89,9 +89,9 @@
     thread_.call([&] { state_->shared.directory.apply(upstreams); });
 }
 
-void EntryThread::setVms(std::size_t vms)
+void EntryThread::applyFleet(std::vector<fleet::NodeInfo> vms, const fleet::NodeInfo& self)
 {
-    thread_.call([&] { state_->shared.directory.setVms(vms); });
+    thread_.call([&] { state_->shared.directory.setFleet(vms, self); });
 }
 
 void EntryThread::beginShutdown()
--- a/src/entry/entrythread.h
+++ b/src/entry/entrythread.h
@@ -3,6 +3,7 @@
 #include "accounts/requestrecord.h"
 #include "discovery/types.h"
 #include "entry/types.h"
+#include "fleet/types.h"
 #include "metrics/registry.h"
 #include "routing/routetable.h"
 #include "runtime/fiberthread.h"
@@ -32,8 +33,8 @@
     void applyRoutes(std::shared_ptr<const routing::RouteTable>);
     void applyUpstreams(std::vector<discovery::KnownUpstream>);
 
-    // VMs that share the upstreams' connections and the retry budgets, with this one.
-    void setVms(std::size_t);
+    // The VMs that share the upstreams' connections and the retry budgets, with this one.
+    void applyFleet(std::vector<fleet::NodeInfo>, const fleet::NodeInfo& self);
 
     // Answers with the last response on each connection; takes what still arrives.
     void beginShutdown();
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -1,5 +1,7 @@
 #include "entry/internal/directory.h"
 
+#include "fleet/connectionallotment.h"
+
 #include <algorithm>
 
 namespace flamingousher::entry {
@@ -17,11 +19,18 @@
 
     // More connections to one upstream than this are of no use: its slots are far fewer.
     constexpr std::size_t MostConnections = 12;
-    constexpr std::size_t WarmConnections = 2;
+
+    // One more near than far: most work stays in the zone, hedges leave it.
+    constexpr std::size_t WarmNearConnections = 2;
+    constexpr std::size_t WarmFarConnections = 1;
+
+    // An upstream whose connections are all other VMs' is used only when the rest of its service is far worse.
+    constexpr base::Duration StandbyDistance = std::chrono::milliseconds(30);
+
     constexpr std::uint32_t UnknownConnections = 24; // of an upstream whose service the configuration does not name
 
     // Connections of an upstream that no VM plans with, for VMs that join or are being replaced.
-    constexpr std::uint32_t ReservedConnections = 1;
+    constexpr std::uint32_t ReservedConnections = 2;
 
     constexpr std::size_t PumpDepth = 16; // waiting sub-requests looked at when one connection becomes free
 
@@ -47,7 +56,7 @@
     , protocol_(protocol)
     , log_(log)
     , now_(std::move(now))
-    , vms_(settings.assumedVms)
+    , mostVms_(settings.assumedVms)
     , selector_({ [this](UpstreamId id) { return handles_[id].pool->hasRoom(); },
           [this](UpstreamId id) { return handles_[id].pool->isReachable(); } })
 {
@@ -59,8 +68,7 @@
     if (!state) {
         state = std::make_shared<ServiceState>();
         state->name = name;
-        state->budget.setSettings({ settings_.retryRatio,
-            settings_.retrySlack / static_cast<double>(std::max<std::size_t>(1, vms_)), settings_.retryWindow });
+        state->budget.setSettings(budgetSettings());
     }
     return state;
 }
@@ -101,7 +109,7 @@
         io_, poolSettings(known.entry), protocol_, poolHooks(id, known.entry.service));
     handles_.push_back({ known, pool });
     swept_.push_back(id);
-    selector_.setUpstream(id, distance(known.entry.zone), known.coldUntil);
+    selector_.setUpstream(id, distance(known.entry), known.coldUntil);
     if (known.entry.isDraining) {
         retire(id);
         return id;
@@ -141,29 +149,41 @@
     };
 }
 
-base::Duration Directory::distance(const std::string& zone) const
+base::Duration Directory::distance(const discovery::UpstreamEntry& entry) const
 {
-    if (zone == settings_.zone)
-        return base::Duration::zero();
-    const auto region = settings_.regions.find(zone);
+    const base::Duration standby = allotment(entry) == 0 ? StandbyDistance : base::Duration::zero();
+    if (entry.zone == settings_.zone)
+        return standby;
+    const auto region = settings_.regions.find(entry.zone);
     const bool isSameRegion = region == settings_.regions.end() || region->second == settings_.region;
-    return isSameRegion ? OtherZoneDistance : OtherRegionDistance;
+    return standby + (isSameRegion ? OtherZoneDistance : OtherRegionDistance);
 }
 
-std::size_t Directory::connectionShare(const std::string& service) const
+// The connections that this VM may keep open to the upstream.
+std::size_t Directory::allotment(const discovery::UpstreamEntry& entry) const
 {
-    const auto found = mostConnections_.find(service);
+    const auto found = mostConnections_.find(entry.service);
     const std::uint32_t most = found == mostConnections_.end() ? UnknownConnections : found->second;
     const std::uint32_t shared = most > ReservedConnections ? most - ReservedConnections : most;
-    return std::clamp<std::size_t>(shared / std::max<std::size_t>(1, vms_), 1, MostConnections);
+    const std::size_t own = vms_.empty() ? std::max<std::size_t>(1, shared / settings_.assumedVms)
+                                         : fleet::allotConnections(vms_, self_, entry.id, entry.zone, shared);
+    return std::min(own, MostConnections);
 }
 
 upstreamclient::PoolSettings Directory::poolSettings(const discovery::UpstreamEntry& entry) const
 {
-    const std::size_t connections = connectionShare(entry.service);
+    const std::size_t connections = allotment(entry);
+    // Nothing is opened ahead of need before it is known how many VMs share the upstream.
+    const std::size_t warm = vms_.empty() ? 0 : entry.zone == settings_.zone ? WarmNearConnections : WarmFarConnections;
     // Published endpoints are checked where they are decoded.
     const auto endpoint = http::parseEndpoint(entry.endpoint);
-    return { entry.id, endpoint.value_or(http::Endpoint {}), connections, std::min(connections, WarmConnections) };
+    return { entry.id, endpoint.value_or(http::Endpoint {}), std::max<std::size_t>(1, connections),
+        std::min(connections, warm) };
+}
+
+balancing::RetryBudgetSettings Directory::budgetSettings() const
+{
+    return { settings_.retryRatio, settings_.retrySlack / static_cast<double>(mostVms_), settings_.retryWindow };
 }
 
 void Directory::applyConfiguration(const routing::RouteTable& routes)
@@ -174,19 +194,21 @@
     refreshLimits();
 }
 
-void Directory::setVms(std::size_t vms)
+void Directory::setFleet(const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self)
 {
-    vms_ = std::max<std::size_t>(1, vms);
+    vms_ = vms;
+    self_ = self;
+    mostVms_ = std::max(mostVms_, vms.size());
     refreshLimits();
 }
 
 void Directory::refreshLimits()
 {
     for (const auto& [name, state] : services_) {
-        state->budget.setSettings(
-            { settings_.retryRatio, settings_.retrySlack / static_cast<double>(vms_), settings_.retryWindow });
+        state->budget.setSettings(budgetSettings());
         for (UpstreamId id : state->upstreams) {
             handles_[id].pool->setSettings(poolSettings(entry(id)));
+            selector_.setUpstream(id, distance(entry(id)), handles_[id].upstream.coldUntil);
             if (mostConnections_.contains(name))
                 handles_[id].pool->keepWarm();
         }
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -7,6 +7,7 @@
 #include "discovery/types.h"
 #include "entry/types.h"
 #include "eventlog/eventlog.h"
+#include "fleet/types.h"
 #include "routing/routetable.h"
 #include "upstreamclient/connectionpool.h"
 
@@ -44,8 +45,8 @@
     void apply(const std::vector<discovery::KnownUpstream>&);
     void applyConfiguration(const routing::RouteTable&);
 
-    // VMs that share the connections and the retry budgets.
-    void setVms(std::size_t);
+    // The VMs that share the connections and the retry budgets, with this one.
+    void setFleet(const std::vector<fleet::NodeInfo>&, const fleet::NodeInfo& self);
 
     // Never null: a service without upstreams exists once it has been asked for.
     std::shared_ptr<ServiceState> service(const std::string& name);
@@ -80,9 +81,10 @@
     UpstreamId add(const discovery::KnownUpstream&);
     void retire(UpstreamId);
     void pump(const std::string& service);
-    base::Duration distance(const std::string& zone) const;
+    base::Duration distance(const discovery::UpstreamEntry&) const;
     upstreamclient::PoolSettings poolSettings(const discovery::UpstreamEntry&) const;
-    std::size_t connectionShare(const std::string& service) const;
+    std::size_t allotment(const discovery::UpstreamEntry&) const;
+    balancing::RetryBudgetSettings budgetSettings() const;
     upstreamclient::ConnectionPool::Hooks poolHooks(UpstreamId, const std::string& service);
     void refreshLimits();
 
@@ -91,7 +93,9 @@
     const upstreamclient::UpstreamProtocol& protocol_;
     eventlog::EventLog& log_;
     std::function<base::TimePoint()> now_;
-    std::size_t vms_;
+    std::vector<fleet::NodeInfo> vms_; // empty until the fleet is known
+    fleet::NodeInfo self_;
+    std::size_t mostVms_; // ever seen: extra attempts of VMs that have gone still count
     std::vector<Handle> handles_; // by UpstreamId; numbers are not used again
     std::vector<UpstreamId> swept_; // with connections, or expected to have them
     std::map<std::string, UpstreamId> current_; // by the upstream's own identifier
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -12,6 +12,9 @@
 
     constexpr std::size_t LeaveNotices = 5;
     constexpr std::size_t SeedContactsPerPeriod = 3;
+
+    // A node that knows nobody asks the seeds this often: when a whole fleet starts, the first asked are not there yet.
+    constexpr base::Duration LoneSeedInterval = std::chrono::milliseconds(200);
     constexpr std::size_t CrashesPerMessage = 4;
     constexpr std::size_t KnownCrashes = 1'024;
     constexpr std::size_t RememberedProbes = 8;
@@ -68,6 +71,10 @@
         nextNotice_ = now + NoticeInterval;
         tellSuspects(outgoing);
     }
+    if (up_.empty() && now >= nextSeedContact_) {
+        nextSeedContact_ = now + LoneSeedInterval;
+        contactSeeds(outgoing);
+    }
     if (now >= nextProbe_) {
         nextProbe_ = now + settings_.period;
         contactSeeds(outgoing);
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -152,6 +152,7 @@
     ConfigurationMark configuration_;
     base::TimePoint lastTick_;
     base::TimePoint nextProbe_;
+    base::TimePoint nextSeedContact_;
     base::TimePoint nextNotice_;
     std::uint64_t lastSequence_ { 0 };
     std::uint64_t pauses_ { 0 };
--- a/src/fleet/rendezvous.cpp
+++ b/src/fleet/rendezvous.cpp
@@ -6,15 +6,11 @@
 
 namespace flamingousher::fleet {
 
-namespace {
-
-    std::uint64_t weigh(const NodeInfo& node, std::string_view key)
-    {
-        const XXH64_hash_t seed = XXH3_64bits_withSeed(node.id.endpoint.data(), node.id.endpoint.size(), node.id.boot);
-        return XXH3_64bits_withSeed(key.data(), key.size(), seed);
-    }
-
-} // namespace
+std::uint64_t rendezvousWeight(const NodeInfo& node, std::string_view key)
+{
+    const XXH64_hash_t seed = XXH3_64bits_withSeed(node.id.endpoint.data(), node.id.endpoint.size(), node.id.boot);
+    return XXH3_64bits_withSeed(key.data(), key.size(), seed);
+}
 
 std::vector<const NodeInfo*> rendezvousNodes(
     const std::vector<NodeInfo>& nodes, std::string_view key, std::size_t count)
@@ -22,7 +18,7 @@
     std::vector<std::pair<std::uint64_t, const NodeInfo*>> weighed;
     weighed.reserve(nodes.size());
     for (const NodeInfo& node : nodes)
-        weighed.emplace_back(weigh(node, key), &node);
+        weighed.emplace_back(rendezvousWeight(node, key), &node);
     const std::size_t chosen = std::min(count, weighed.size());
     std::ranges::partial_sort(weighed, weighed.begin() + static_cast<std::ptrdiff_t>(chosen),
         [](const auto& left, const auto& right) { return left.first > right.first; });
@@ -41,7 +37,7 @@
     for (const NodeInfo& node : nodes) {
         if (!isCandidate(node))
             continue;
-        const std::uint64_t weight = weigh(node, key);
+        const std::uint64_t weight = rendezvousWeight(node, key);
         if (!best || weight > bestWeight) {
             best = &node;
             bestWeight = weight;
--- a/src/fleet/rendezvous.h
+++ b/src/fleet/rendezvous.h
@@ -8,6 +8,9 @@
 
 namespace flamingousher::fleet {
 
+// The hash of node and key by which nodes are ordered.
+std::uint64_t rendezvousWeight(const NodeInfo&, std::string_view key);
+
 using NodePredicate = std::function<bool(const NodeInfo&)>;
 
 // Of the nodes that the predicate accepts, the one with the highest hash of node and key (Thaler, Ravishankar 1998).
--- a/src/platform/internal/base64.cpp
+++ b/src/platform/internal/base64.cpp
@@ -21,4 +21,14 @@
     return bytes;
 }
 
+std::string encodeBase64(std::string_view bytes)
+{
+    // The encoder ends its text with a zero.
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const int length = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+        reinterpret_cast<const unsigned char*>(bytes.data()), static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
 } // namespace flamingousher::platform
--- a/src/platform/internal/base64.h
+++ b/src/platform/internal/base64.h
@@ -9,4 +9,6 @@
 // Decodes standard base64 with padding. None when the text is not that.
 std::optional<std::string> decodeBase64(std::string_view text);
 
+std::string encodeBase64(std::string_view bytes);
+
 } // namespace flamingousher::platform
--- a/src/platform/storeclient.cpp
+++ b/src/platform/storeclient.cpp
@@ -31,13 +31,26 @@
 
 } // namespace
 
-StoreClient::StoreClient(boost::asio::io_context& io, http::Endpoint endpoint)
+StoreClient::StoreClient(boost::asio::io_context& io)
     : io_(io)
-    , endpoint_(std::move(endpoint))
-    , peer_(http::toString(endpoint_))
 {
 }
 
+void StoreClient::setEndpoint(const http::Endpoint& endpoint)
+{
+    if (endpoint == endpoint_)
+        return;
+    endpoint_ = endpoint;
+    peer_ = http::toString(endpoint_);
+    stream_.reset();
+}
+
+void StoreClient::cancel()
+{
+    if (stream_)
+        stream_->cancel();
+}
+
 Error StoreClient::failed(ErrorCode code, Step step, const std::string& detail)
 {
     ++counters_.failures;
@@ -51,7 +64,7 @@
         target += "&after=" + http::encodeParameter(after);
     if (mayBeStale)
         target += "&allow-stale=1";
-    ++(mayBeStale ? counters_.staleCalls : counters_.calls);
+    ++counters_.calls;
     const auto response = get(target, ReadTimeout);
     return response ? decodeRange(peer_, response->body()) : tl::unexpected(response.error());
 }
--- a/src/platform/storeclient.h
+++ b/src/platform/storeclient.h
@@ -13,15 +13,20 @@
 
 struct StoreCounters {
     std::uint64_t calls { 0 };
-    std::uint64_t staleCalls { 0 }; // which cost a tenth
     std::uint64_t failures { 0 };
 };
 
-// Reads the platform's metadata store over one connection, in the calling fiber. Errors carry step and peer.
-// ErrorCode::VersionNotServed says that the store no longer has the history that was asked for.
+// Reads the platform's metadata store, or a relay of it, over one connection, in the calling fiber. Errors carry step
+// and peer. ErrorCode::VersionNotServed says that the store no longer has the history that was asked for.
 class StoreClient {
 public:
-    StoreClient(boost::asio::io_context&, http::Endpoint);
+    explicit StoreClient(boost::asio::io_context&);
+
+    // Where the following calls go: the store, or a VM that passes its contents on.
+    void setEndpoint(const http::Endpoint&);
+
+    // Ends the call in progress with an error.
+    void cancel();
 
     // One page of the keys with the prefix, after the given key. mayBeStale: cheaper, and perhaps seconds old.
     tl::expected<StorePage, base::Error> range(const std::string& prefix, const std::string& after, bool mayBeStale);
--- a/src/platform/storewatcher.cpp
+++ b/src/platform/storewatcher.cpp
@@ -1,9 +1,11 @@
 #include "platform/storewatcher.h"
 
+#include "http/client.h"
 #include "platform/names.h"
 #include "runtime/sleep.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingousher::platform {
 
@@ -15,102 +17,142 @@
     // One watch covers all keys.
     constexpr const char* AllKeys = "";
 
-    // A watch that has gone silent is noticed after this time and a little more: less than an entry may be late.
-    constexpr std::chrono::milliseconds WatchTime { 4'000 };
+    // A watch that has gone silent is noticed after this time and the client's margin. Together with the wait at a
+    // relay it is less than the 3 s within which a configuration must be in force.
+    constexpr std::chrono::milliseconds StoreWatchTime { 1'500 };
+    constexpr std::chrono::milliseconds RelayWatchTime { 700 };
 
-    // Changes come in series; those that come within this time cost one call together.
-    constexpr std::chrono::milliseconds GatherTime { 200 };
+    // The store's contents are taken as up to date for this long after it has answered.
+    constexpr base::Duration FreshTime = std::chrono::milliseconds(2'200);
+
+    // Changes come in series; at the store those that come within this time cost one call together.
+    constexpr std::chrono::milliseconds StoreGatherTime { 200 };
+    constexpr std::chrono::milliseconds RelayGatherTime { 20 };
 
     constexpr std::chrono::milliseconds FirstBackoff { 100 };
     constexpr std::uint32_t MostBackoffDoublings = 3; // 800 ms
 
 } // namespace
 
-StoreWatcher::StoreWatcher(boost::asio::io_context& io, const http::Endpoint& endpoint, Hooks hooks)
+StoreWatcher::StoreWatcher(boost::asio::io_context& io, Hooks hooks)
     : io_(io)
     , hooks_(std::move(hooks))
-    , client_(io, endpoint)
+    , client_(io)
 {
 }
 
 void StoreWatcher::run()
 {
     for (;;) {
-        const bool isDone = isComplete_ ? awaitChanges() : readAll();
-        if (isDone)
-            continue;
-        const auto backoff = FirstBackoff * (1U << std::min(failures_, MostBackoffDoublings));
-        // Between a half and the whole of the backoff, so that VMs do not return together.
-        pause(backoff / 2 + std::chrono::milliseconds(hooks_.random() % (backoff.count() / 2)));
+        const Source source = hooks_.chooseSource();
+        client_.setEndpoint(source.endpoint);
+        const bool isDone = isComplete_ ? awaitChanges(source) : readAll(source);
+        if (!isDone && !std::exchange(isReconsidering_, false))
+            pauseAfterFailure();
     }
 }
 
-void StoreWatcher::pause(std::chrono::milliseconds duration)
+void StoreWatcher::reconsider()
+{
+    isReconsidering_ = true;
+    client_.cancel();
+}
+
+bool StoreWatcher::isFresh() const
+{
+    return isComplete_ && hooks_.now() - freshAt_ < FreshTime;
+}
+
+void StoreWatcher::pauseAfterFailure()
+{
+    // Another source may be there; only when they fail in a row does waiting help.
+    if (failures_ < 2)
+        return;
+    const auto backoff = FirstBackoff * (1U << std::min(failures_ - 2, MostBackoffDoublings));
+    // Between a half and the whole of the backoff, so that VMs do not return together.
+    runtime::sleepFor(io_, backoff / 2 + std::chrono::milliseconds(hooks_.random() % (backoff.count() / 2)));
+}
+
+void StoreWatcher::countCall(const Source& source)
 {
-    runtime::sleepFor(io_, duration);
+    storeCalls_ += source.isStore ? 1 : 0;
 }
 
-void StoreWatcher::noteFailure(const Error& error)
+void StoreWatcher::noteFailure(const Source& source, const Error& error)
 {
+    if (isReconsidering_)
+        return;
     ++failures_;
-    if (std::exchange(isInTouch_, false) || failures_ == 1)
+    hooks_.onSourceFailed(source, error);
+    // The store is everyone's last resort.
+    if (source.isStore && !std::exchange(wasLost_, true)) {
+        isInTouch_ = false;
         hooks_.onLost(error);
+    }
 }
 
-void StoreWatcher::noteSuccess()
+void StoreWatcher::noteSuccess(const Source& source)
 {
     failures_ = 0;
-    if (!std::exchange(isInTouch_, true))
-        hooks_.onRegained();
+    if (source.isStore)
+        freshAt_ = hooks_.now();
+    const bool wasInTouch = std::exchange(isInTouch_, true);
+    if (std::exchange(wasLost_, false) || !wasInTouch)
+        hooks_.onRegained(source);
 }
 
 // Pages are not a snapshot: what changes meanwhile is told by the watch from the first page's revision on.
-bool StoreWatcher::readAll()
+bool StoreWatcher::readAll(const Source& source)
 {
-    std::vector<discovery::UpstreamEntry> upstreams;
-    StoreItem configuration;
+    std::vector<StoreItem> items;
     std::string after;
     std::uint64_t asOf = 0;
     for (;;) {
-        const auto page = client_.range(AllKeys, after, mayReadStale_);
+        countCall(source);
+        // What a relay holds is never older than what is known here, or it is not taken.
+        const auto page = client_.range(AllKeys, after, mayReadStale_ || !source.isStore);
         if (!page) {
-            noteFailure(page.error());
+            noteFailure(source, page.error());
             return false;
         }
         asOf = asOf == 0 ? page->asOf : asOf;
-        if (page->asOf < revision_) {
-            // Older than what is known already.
+        if (page->asOf < revision()) {
             mayReadStale_ = false;
+            noteFailure(source,
+                { ErrorCode::VersionNotServed, base::Step::Receive, http::toString(source.endpoint),
+                    "the contents are older than those known", base::RunState::NotRun });
             return false;
         }
-        for (const StoreItem& item : page->items) {
-            if (item.key == key::Configuration)
-                configuration = item;
-            if (!item.key.starts_with(key::Upstreams))
-                continue;
-            auto upstream = decodeUpstream(item.key, item.value);
-            if (upstream)
-                upstreams.push_back(*std::move(upstream));
-            else
-                hooks_.onUnreadable(upstream.error());
-        }
+        items.insert(items.end(), page->items.begin(), page->items.end());
         if (!page->hasMore || page->items.empty())
             break;
         after = page->items.back().key;
     }
-    noteSuccess();
-    hooks_.onAllUpstreams(upstreams);
-    if (!configuration.key.empty())
-        applyConfiguration(configuration);
-    revision_ = asOf;
+    // A stale read shows the past; only the watch that follows tells the present.
+    noteSuccess({ source.endpoint, source.isStore && !mayReadStale_ });
+    std::vector<discovery::UpstreamEntry> upstreams;
+    for (const StoreItem& item : items) {
+        if (item.key == key::Configuration)
+            applyConfiguration(item);
+        if (!item.key.starts_with(key::Upstreams))
+            continue;
+        auto upstream = decodeUpstream(item.key, item.value);
+        if (upstream)
+            upstreams.push_back(*std::move(upstream));
+        else
+            hooks_.onUnreadable(upstream.error());
+    }
+    mirror_.replaceAll(items, asOf);
     isComplete_ = true;
-    hooks_.onCaughtUp();
+    hooks_.onAllUpstreams(upstreams);
+    hooks_.onCaughtUp(source);
     return true;
 }
 
-bool StoreWatcher::awaitChanges()
+bool StoreWatcher::awaitChanges(const Source& source)
 {
-    const auto page = client_.watch(AllKeys, revision_, WatchTime);
+    countCall(source);
+    const auto page = client_.watch(AllKeys, revision(), source.isStore ? StoreWatchTime : RelayWatchTime);
     if (!page) {
         // A stale read may lack the history as well.
         if (page.error().code == ErrorCode::VersionNotServed) {
@@ -118,16 +160,20 @@
             mayReadStale_ = false;
             return true;
         }
-        noteFailure(page.error());
+        noteFailure(source, page.error());
         return false;
     }
-    noteSuccess();
-    for (const StoreItem& item : page->items)
-        apply(item);
-    revision_ = std::max(revision_, page->asOf);
-    hooks_.onCaughtUp();
+    noteSuccess(source);
+    for (const StoreItem& item : page->items) {
+        if (item.revision > revision()) {
+            apply(item);
+            mirror_.apply(item);
+        }
+    }
+    mirror_.advance(page->asOf);
+    hooks_.onCaughtUp(source);
     if (!page->items.empty())
-        pause(GatherTime);
+        runtime::sleepFor(io_, source.isStore ? StoreGatherTime : RelayGatherTime);
     return true;
 }
 
--- a/src/platform/storewatcher.h
+++ b/src/platform/storewatcher.h
@@ -1,60 +1,87 @@
 #pragma once
 
 #include "platform/storeclient.h"
-
-#include <boost/asio/steady_timer.hpp>
+#include "platform/storemirror.h"
 
 #include <functional>
-#include <memory>
 #include <string>
 #include <vector>
 
 namespace flamingousher::platform {
 
-// Follows the store: reads everything once, then waits for changes.
+// Follows the store's contents: reads everything once, then waits for changes, at the store or at a VM that passes
+// them on.
 class StoreWatcher {
 public:
+    // Where to read. Both kinds speak the same protocol.
+    struct Source {
+        http::Endpoint endpoint;
+        bool isStore { true };
+
+        bool operator==(const Source&) const = default;
+    };
+
     struct Hooks {
+        std::function<base::TimePoint()> now;
         std::function<std::uint32_t()> random;
+
+        // The source to use for the next call, and what became of the last.
+        std::function<Source()> chooseSource;
+        std::function<void(const Source&, const base::Error&)> onSourceFailed;
+
         std::function<void(const routing::Configuration&)> onConfiguration;
         std::function<void(const std::vector<discovery::UpstreamEntry>&)> onAllUpstreams;
         std::function<void(const discovery::UpstreamEntry&)> onUpstream;
         std::function<void(const std::string& upstreamId)> onUpstreamGone;
 
         // Everything that one answer told has been handed over.
-        std::function<void()> onCaughtUp;
+        std::function<void(const Source&)> onCaughtUp;
+
+        // No source answers, and one answers again.
         std::function<void(const base::Error&)> onLost;
-        std::function<void()> onRegained;
+        std::function<void(const Source&)> onRegained;
 
         // An entry that cannot be read. It changes nothing.
         std::function<void(const base::Error&)> onUnreadable;
     };
 
-    StoreWatcher(boost::asio::io_context&, const http::Endpoint&, Hooks);
+    StoreWatcher(boost::asio::io_context&, Hooks);
 
     // Runs for ever, in the calling fiber.
     void run();
 
-    bool isInTouch() const { return isInTouch_; }
-    std::uint64_t revision() const { return revision_; }
+    // Chooses the source anew at once, also while a call waits.
+    void reconsider();
+
+    // The contents have been read at the store itself a short time ago, and nothing has been missed since.
+    bool isFresh() const;
+
+    std::uint64_t revision() const { return mirror_.revision(); }
+    const StoreMirror& mirror() const { return mirror_; }
+    std::uint64_t storeCalls() const { return storeCalls_; }
     const StoreCounters& counters() const { return client_.counters(); }
 
 private:
-    bool readAll();
-    bool awaitChanges();
+    bool readAll(const Source&);
+    bool awaitChanges(const Source&);
+    void countCall(const Source&);
     void apply(const StoreItem&);
     void applyConfiguration(const StoreItem&);
-    void noteFailure(const base::Error&);
-    void noteSuccess();
-    void pause(std::chrono::milliseconds);
+    void noteFailure(const Source&, const base::Error&);
+    void noteSuccess(const Source&);
+    void pauseAfterFailure();
 
     boost::asio::io_context& io_;
     Hooks hooks_;
     StoreClient client_;
-    std::uint64_t revision_ { 0 }; // everything up to it has been handed over
+    StoreMirror mirror_;
+    base::TimePoint freshAt_; // last answer of the store itself
+    std::uint64_t storeCalls_ { 0 };
     bool isComplete_ { false }; // everything has been read once, and the history since is known
     bool mayReadStale_ { true };
     bool isInTouch_ { false };
+    bool wasLost_ { false };
+    bool isReconsidering_ { false };
     std::uint32_t failures_ { 0 }; // in a row
 };
 
--- a/src/settings/daemonsettings.cpp
+++ b/src/settings/daemonsettings.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-    constexpr std::size_t LeastKeyLength = 16;
     constexpr std::uint64_t MostTrafficThreads = 64;
     constexpr std::uint64_t LongestShutdownMs = 600'000;
 
@@ -38,11 +37,7 @@
             settings.configuration = readEndpoint(section, "configuration");
             settings.vms = readEndpoint(section, "vms");
         });
-        reader.section("peers", [&](SectionReader& section) {
-            settings.peerKey = section.text("key");
-            if (!settings.peerKey.empty() && settings.peerKey.size() < LeastKeyLength)
-                section.addFault("key", "is shorter than " + std::to_string(LeastKeyLength) + " characters");
-        });
+        reader.section("peers", [&](SectionReader& section) { settings.peerKey = readPeerKey(section); });
         reader.section("threads", [&](SectionReader& section) {
             settings.trafficThreads = static_cast<std::uint32_t>(section.integer("traffic", 1, MostTrafficThreads, 1));
         });
--- a/src/settings/internal/settingsreader.cpp
+++ b/src/settings/internal/settingsreader.cpp
@@ -10,6 +10,12 @@
 using tables::IniSection;
 using tables::SectionReader;
 
+namespace {
+
+    constexpr std::size_t LeastKeyLength = 16;
+
+} // namespace
+
 SettingsReader::SettingsReader(const std::string& file, const tables::IniDocument& document)
     : file_(file)
     , document_(document)
@@ -56,6 +62,14 @@
     return value;
 }
 
+std::string readPeerKey(SectionReader& reader)
+{
+    std::string key = reader.text("key");
+    if (!key.empty() && key.size() < LeastKeyLength)
+        reader.addFault("key", "is shorter than " + std::to_string(LeastKeyLength) + " characters");
+    return key;
+}
+
 tl::expected<std::string, std::vector<std::string>> readFile(const std::string& file)
 {
     std::ifstream stream(file);
--- a/src/settings/internal/settingsreader.h
+++ b/src/settings/internal/settingsreader.h
@@ -45,6 +45,9 @@
 std::string readChoice(tables::SectionReader&, const std::string& key, const std::vector<std::string>& choices,
     const std::string& fallback);
 
+// Reads the shared secret of the fleet.
+std::string readPeerKey(tables::SectionReader&);
+
 tl::expected<std::string, std::vector<std::string>> readFile(const std::string& file);
 
 // Parses the text and reads settings out of it. On failure lists every fault.
--- a/src/settings/tests/vmsettingstests.cpp
+++ b/src/settings/tests/vmsettingstests.cpp
@@ -22,6 +22,7 @@
 store = 10.200.1.7:8229
 [peers]
 gossip = 10.1.0.39:7740
+key = sixteen characters and more
 seeds = 10.1.0.39:7740, 10.2.0.33:7740
 [retries]
 ratio = 0.2
--- a/src/settings/vmsettings.cpp
+++ b/src/settings/vmsettings.cpp
@@ -71,6 +71,7 @@
         });
         reader.section("peers", [&](SectionReader& section) {
             settings.gossip = readEndpoint(section, "gossip");
+            settings.peerKey = readPeerKey(section);
             settings.seeds = readList(section, "seeds");
             for (const std::string& seed : settings.seeds) {
                 if (const auto endpoint = http::parseEndpoint(seed); !endpoint)
--- a/src/settings/vmsettings.h
+++ b/src/settings/vmsettings.h
@@ -30,6 +30,7 @@
     http::Endpoint operators; // [listen] operators
     http::Endpoint store; // [platform] store
     http::Endpoint gossip; // [peers] gossip: datagrams of the other VMs
+    std::string peerKey; // [peers] key: shared secret of the fleet, at least 16 characters
     std::vector<std::string> seeds; // [peers] seeds: "IP:port" of VMs that may be alive, separated by commas
     double retryRatio { 0.2 }; // [retries] ratio: extra attempts for each request at a service
     double retrySlack { 0 }; // [retries] slack: extra attempts in a window whatever the requests
--- a/src/upstreamclient/connectionpool.cpp
+++ b/src/upstreamclient/connectionpool.cpp
@@ -15,6 +15,9 @@
     // An upstream that resets new connections is full; it is asked for more after this time.
     constexpr base::Duration LowLimitTime = std::chrono::seconds(2);
 
+    // Connections beyond the warm ones are closed when they have not been used for so long; other VMs may need them.
+    constexpr base::Duration SpareIdleTime = std::chrono::seconds(5);
+
 } // namespace
 
 ConnectionPool::ConnectionPool(
@@ -95,7 +98,8 @@
     }
 }
 
-void ConnectionPool::onConnected()
+// An upstream that has enough connections accepts one before it resets it, so only an answer shows that it takes more.
+void ConnectionPool::onAnswered()
 {
     connectFailures_ = 0;
     retryConnectAt_ = {};
@@ -131,6 +135,7 @@
         onSilent(connection->sentAt());
         connection->close("no answer in time");
     }
+    closeUnneeded(now);
     keepWarm();
 }
 
@@ -145,6 +150,20 @@
     }
 }
 
+void ConnectionPool::closeUnneeded(base::TimePoint now)
+{
+    std::size_t open = connections_.size();
+    for (const auto& connection : std::vector(connections_)) {
+        if (open <= settings_.warmConnections)
+            return;
+        const bool isUnused = connection->lastProgress() + SpareIdleTime < now;
+        if (!connection->isFree() || !(isUnused || open > settings_.mostConnections))
+            continue;
+        connection->close("not needed");
+        --open;
+    }
+}
+
 void ConnectionPool::setSettings(const PoolSettings& settings)
 {
     settings_ = settings;
--- a/src/upstreamclient/connectionpool.h
+++ b/src/upstreamclient/connectionpool.h
@@ -65,9 +65,10 @@
     std::shared_ptr<Connection> freeConnection() const;
     std::size_t limit() const;
     void onConnectFailed();
-    void onConnected();
+    void onAnswered();
     void onClosed(const std::shared_ptr<Connection>&, bool wasRefusedAtLimit);
     void onSilent(base::TimePoint since);
+    void closeUnneeded(base::TimePoint now);
 
     boost::asio::io_context& io_;
     PoolSettings settings_;
--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -98,7 +98,6 @@
         pool_->onConnectFailed();
         return;
     }
-    pool_->onConnected();
     if (attempt_)
         write();
     else
@@ -221,6 +220,7 @@
         return isReusable;
     }
     ++answers_;
+    pool_->onAnswered();
     ++pool_->counters_.answered;
     // Bytes after a complete answer belong to no request.
     isReusable = isReusable && buffer_.size() == 0 && !pool_->isRetired_;
--- a/src/upstreamclient/tests/connectionpooltests.cpp
+++ b/src/upstreamclient/tests/connectionpooltests.cpp
@@ -297,6 +297,20 @@
         3);
 }
 
+// Load pattern: more VMs than an upstream takes connections, which it resets as soon as they are open.
+Test(ConnectionPool, asksLessAndLessOftenWhenTheUpstreamResetsEveryConnection)
+{
+    withServer([](RawConnection& connection) { connection.reset(); },
+        [](Harness& harness) {
+            harness.pool->keepWarm();
+            const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(1'500);
+            harness.eventually([&] { return std::chrono::steady_clock::now() >= end; });
+            // At once and after 100, 200, 400 and 800 ms.
+            cr_assert_leq(harness.server.accepted(), 5);
+            cr_assert_geq(harness.server.accepted(), 3);
+        });
+}
+
 Test(ConnectionPool, tellsWhenAnotherProcessHasTheAddress)
 {
     withServer(
