--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -84,11 +84,11 @@
 done
 daemon_pids=("${pids[@]: -3}")
 put 127.0.0.1 17000 /v1/vms '[{"address":"127.0.0.11:8081","state":"live"},{"address":"127.0.0.12:8081","state":"live"},{"address":"127.0.0.13:8081","state":"live"}]'
-ready() { get "127.0.0.1$1" 8090 /ready | grep -q '^ready'; }
+ready() { [ "$(get "127.0.0.1$1" 8090 /ready)" = ready ]; }
 for vm in 1 2 3; do wait_for "vm-$vm ready" ready $vm; done
 
 say "a query over $shards shards, against a plain scan of the catalogue"
-query=$(cut -f2 "$catalogue" | head -1 | awk '{print $1}')
+query=$(awk -F '\t' '{ split($2, words, " "); print words[1]; exit }' "$catalogue")
 answer=$(get 127.0.0.11 8080 "/slings?q=$query&k=10")
 printf '%s\n' "$answer" | cut -c1-300
 ids() { grep -o '"id":"[^"]*"' | cut -d'"' -f4; }
@@ -103,7 +103,7 @@
 sleep 1
 answer=$(get 127.0.0.12 8080 "/slings?q=$query")
 printf '%s\n' "$answer" | grep -o '"coverage":{"answered":[0-9]*,"asked":[0-9]*'
-printf '%s\n' "$answer" | grep -q '"partial":true'
+grep -q '"partial":true' <<< "$answer"
 request=$(printf '%s\n' "$answer" | grep -o '"request_id":"[^"]*"' | cut -d'"' -f4)
 ctl explain "$request" > "$work/explained"
 head -12 "$work/explained"
--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -3,7 +3,8 @@
 set -euo pipefail
 source "$(dirname "$0")/common.sh"
 install_packages
-cores=(tables upstreams admission identity quarantine query accounts settings fleet wire scenario)
+cores=(tables upstreams admission identity quarantine query accounts settings fleet wire scenario routing discovery balancing
+    fanout eventlog)
 cd "$root"
 cmake --preset asan >/dev/null
 cmake --build --preset asan --target $(printf "flamingousher_%s_tests " "${cores[@]}")
--- a/src/balancing/admission.cpp
+++ b/src/balancing/admission.cpp
@@ -41,19 +41,19 @@
     const auto needed = std::max<std::size_t>(
         1, static_cast<std::size_t>(std::ceil(leastCoverage * static_cast<double>(shards.size()) - 1e-9)));
     if (times.size() < needed)
-        return { false, RetryAfterUnusable, RetryAfterUnusable };
+        return { AdmissionReason::TooFewUsable, RetryAfterUnusable, RetryAfterUnusable };
     std::ranges::nth_element(times, times.begin() + static_cast<std::ptrdiff_t>(needed - 1));
     const base::Duration expected = times[needed - 1];
     if (expected <= goalLeft)
-        return { true, expected, {} };
+        return { AdmissionReason::Admitted, expected, {} };
     // An idle system that is slow by itself serves late rather than not at all: waiting would not help.
     const bool isQueued = std::ranges::any_of(shards, [](const ShardLoad& shard) { return !shard.hasRoom; });
     if (!isQueued)
-        return { true, expected, {} };
+        return { AdmissionReason::Admitted, expected, {} };
     // The queue moves by whole service times: a caller that returned within one would find it as long as now.
     const base::Duration turn = std::max<base::Duration>(LeastRetryAfter, longestServiceTime(shards));
     const auto turns = (expected - goalLeft + turn - base::Duration(1)) / turn;
-    return { false, expected, turn * turns };
+    return { AdmissionReason::TooLate, expected, turn * turns };
 }
 
 } // namespace flamingousher::balancing
--- a/src/balancing/admission.h
+++ b/src/balancing/admission.h
@@ -17,12 +17,20 @@
     bool operator==(const ShardLoad&) const = default;
 };
 
+enum class AdmissionReason : std::uint8_t {
+    Admitted,
+    TooLate, // the answer would miss its goal
+    TooFewUsable, // too few shards have an upstream that may receive work
+};
+
 struct AdmissionVerdict {
-    bool isAdmitted { true };
+    AdmissionReason reason { AdmissionReason::Admitted };
     base::Duration expected { 0 }; // until the answer
     base::Duration retryAfter { 0 }; // when the answer would come within the goal
 
     bool operator==(const AdmissionVerdict&) const = default;
+
+    bool isAdmitted() const { return reason == AdmissionReason::Admitted; }
 };
 
 // Decides at arrival whether a request over shards can be answered in time. Load pattern: a burst of more work than
--- a/src/balancing/tests/admissiontests.cpp
+++ b/src/balancing/tests/admissiontests.cpp
@@ -29,41 +29,42 @@
 Test(Admission, admitsWhatFindsRoom)
 {
     const AdmissionVerdict verdict = admit(shards(10, Free), 0.89, milliseconds(112));
-    cr_assert(verdict.isAdmitted);
+    cr_assert(verdict.isAdmitted());
     cr_assert(verdict.expected == milliseconds(15));
 }
 
 // Load pattern: a burst fills every connection; each further query would take a slot of all ten shards in vain.
 Test(Admission, refusesWhatCannotReachItsGoalAndSaysWhenItWill)
 {
-    cr_assert(admit(shards(10, queued(12)), 0.89, milliseconds(112)).isAdmitted);
+    cr_assert(admit(shards(10, queued(12)), 0.89, milliseconds(112)).isAdmitted());
     const AdmissionVerdict verdict = admit(shards(10, queued(30)), 0.89, milliseconds(112));
-    cr_assert(!verdict.isAdmitted);
+    cr_assert(!verdict.isAdmitted());
     // 12 turns of 15 ms are 68 ms too many: 4 turns of 20 ms, the shortest that is told.
     cr_assert(verdict.retryAfter == milliseconds(80));
     // By then 5 turns have started 3 sub-requests each.
     const AdmissionVerdict later = admit(shards(10, queued(30 - 5 * 3)), 0.89, milliseconds(112));
-    cr_assert(later.isAdmitted, "a caller that returns then is served");
+    cr_assert(later.isAdmitted(), "a caller that returns then is served");
 }
 
 Test(Admission, looksOnlyAtTheShardsThatAreNeeded)
 {
     auto loads = shards(10, Free);
     loads[3] = queued(100);
-    cr_assert(admit(loads, 0.89, milliseconds(112)).isAdmitted);
-    cr_assert(!admit(loads, 1.0, milliseconds(112)).isAdmitted);
+    cr_assert(admit(loads, 0.89, milliseconds(112)).isAdmitted());
+    cr_assert(!admit(loads, 1.0, milliseconds(112)).isAdmitted());
     loads[4] = { .isUsable = false };
-    cr_assert(!admit(loads, 0.89, milliseconds(112)).isAdmitted, "8 of 10 are in time");
+    cr_assert(!admit(loads, 0.89, milliseconds(112)).isAdmitted(), "8 of 10 are in time");
 }
 
 Test(Admission, refusesAtOnceWhenTooFewShardsHaveAnUpstream)
 {
     auto loads = shards(10, Free);
     loads[0].isUsable = false;
-    cr_assert(admit(loads, 0.89, milliseconds(112)).isAdmitted);
+    cr_assert(admit(loads, 0.89, milliseconds(112)).isAdmitted());
     loads[1].isUsable = false;
     const AdmissionVerdict verdict = admit(loads, 0.89, milliseconds(112));
-    cr_assert(!verdict.isAdmitted);
+    cr_assert(!verdict.isAdmitted());
+    cr_assert(verdict.reason == AdmissionReason::TooFewUsable);
     cr_assert(verdict.retryAfter > base::Duration::zero());
 }
 
@@ -71,5 +72,5 @@
 {
     ShardLoad slow = Free;
     slow.serviceTime = milliseconds(400);
-    cr_assert(admit(shards(1, slow), 1.0, milliseconds(112)).isAdmitted);
+    cr_assert(admit(shards(1, slow), 1.0, milliseconds(112)).isAdmitted());
 }
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -28,6 +28,13 @@
         return static_cast<base::Rank>(std::min<std::uint32_t>(route.priority, base::RankCount - 1));
     }
 
+    std::string describe(const balancing::AdmissionVerdict& verdict)
+    {
+        if (verdict.reason == balancing::AdmissionReason::TooFewUsable)
+            return "too few shards have a usable upstream";
+        return "expected to take " + std::to_string(base::toMilliseconds(verdict.expected)) + " ms";
+    }
+
     std::string outcomeOf(const FinishFanout& finish, bool isLate)
     {
         switch (finish.ending) {
@@ -104,11 +111,8 @@
     for (const auto& service : services)
         service->budget.onRequest(routed.receivedAt);
     const balancing::AdmissionVerdict verdict = admit(routed, services);
-    if (!verdict.isAdmitted) {
-        return refuse(routed,
-            { ErrorCode::Overloaded, base::Step::Admission, {},
-                "expected to take " + std::to_string(base::toMilliseconds(verdict.expected)) + " ms",
-                RunState::NotRun },
+    if (!verdict.isAdmitted()) {
+        return refuse(routed, { ErrorCode::Overloaded, base::Step::Admission, {}, describe(verdict), RunState::NotRun },
             verdict.retryAfter);
     }
     const fanout::FanoutSpec spec { static_cast<std::uint32_t>(services.size()), routed.goal, routed.deadline,
--- a/src/platform/storewatcher.cpp
+++ b/src/platform/storewatcher.cpp
@@ -164,8 +164,10 @@
         return false;
     }
     noteSuccess(source);
+    // Not every source is trusted to tell changes in their order.
+    const std::uint64_t before = revision();
     for (const StoreItem& item : page->items) {
-        if (item.revision > revision()) {
+        if (item.revision > before) {
             apply(item);
             mirror_.apply(item);
         }
--- a/src/platform/tests/storewatchertests.cpp
+++ b/src/platform/tests/storewatchertests.cpp
@@ -233,6 +233,27 @@
     });
 }
 
+Test(StoreWatcher, takesChangesThatComeOutOfOrder)
+{
+    withHarness(500, [](Harness& harness) {
+        auto* mirror = new StoreMirror;
+        mirror->advance(5);
+        auto* relay = new StoreRelay(harness.io, *mirror, [] { return true; });
+        auto* server = new http::Server(harness.io, {}, [relay](const http::Request& request, http::Exchange&) {
+            return relay->handle(request, http::parseTarget(std::string(request.target())));
+        });
+        cr_assert(!server->listen({ boost::asio::ip::make_address("127.0.0.1"), 0 }));
+        harness.source = StoreWatcher::Source { server->localEndpoint(), true };
+        harness.start();
+        cr_assert(harness.eventually([&] { return harness.caughtUp >= 1; }));
+        mirror->apply({ "servers/i-1", upstream(1), 9, false });
+        mirror->apply({ "op/config", configuration(4), 8, false });
+        relay->onChanged();
+        cr_assert(harness.eventually([&] { return harness.upstreams.contains("i-1"); }));
+        cr_assert(harness.eventually([&] { return harness.version == 4; }));
+    });
+}
+
 Test(StoreWatcher, choosesItsSourceAnewWhenItIsTold)
 {
     withHarness(500, [](Harness& harness) {
