Bound what callers send by the configuration, and remove what nothing uses

The limits of a configuration were decoded and not applied. Dead functions and members of the new modules are gone; three places that the linter names are mended.

--- a/src/control/fleetmember.cpp
+++ b/src/control/fleetmember.cpp
@@ -80,6 +80,7 @@
 void FleetMember::send(const std::vector<fleet::Outgoing>& outgoing)
 {
     std::vector<fleet::FleetOutgoing> messages;
+    messages.reserve(outgoing.size());
     for (const fleet::Outgoing& message : outgoing)
         messages.push_back({ message.endpoint,
             std::visit([](const auto& content) { return fleet::FleetMessage(content); }, message.message) });
--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -50,7 +50,6 @@
     entry::EntrySettings makeEntrySettings(const settings::VmSettings& settings)
     {
         entry::EntrySettings entry;
-        entry.vm = settings.name;
         entry.zone = settings.zone;
         entry.region = settings.region;
         entry.regions = settings.regions;
@@ -145,13 +144,12 @@
 
 platform::StoreWatcher::Source VmDaemon::chooseSource()
 {
-    // The first read is the store's, for a VM that has just started knows nobody.
+    // A VM that has just started knows nobody and reads the store itself.
     const auto source = sources_.choose(fleet_->nodes(), fleet_->self(), std::chrono::steady_clock::now());
     // Sources are endpoints that VMs have told of themselves; a wrong one is as good as none.
     const auto endpoint = http::parseEndpoint(source.endpoint);
-    const platform::StoreWatcher::Source chosen = endpoint
-        ? platform::StoreWatcher::Source { *endpoint, source.isStore }
-        : platform::StoreWatcher::Source { settings_.store, true };
+    platform::StoreWatcher::Source chosen = endpoint ? platform::StoreWatcher::Source { *endpoint, source.isStore }
+                                                     : platform::StoreWatcher::Source { settings_.store, true };
     if (chosen != lastSource_)
         log_.decision("source", { { "source", http::toString(chosen.endpoint) }, { "is_store", chosen.isStore } });
     lastSource_ = chosen;
--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -17,9 +17,12 @@
 
     constexpr std::size_t MostCallerConnections = 3'000; // of the descriptors of a small VM
 
-    http::ServerLimits makeServerLimits()
+    http::ServerLimits makeServerLimits(const routing::CallerLimits& allowed)
     {
         http::ServerLimits limits;
+        limits.headerBytes = allowed.headerBytes;
+        limits.bodyBytes = allowed.bodyBytes;
+        limits.idleTimeout = allowed.idleTimeout;
         limits.connections = MostCallerConnections;
         return limits;
     }
@@ -31,7 +34,7 @@
         const upstreamclient::UpstreamProtocol& upstreams, std::function<void(const std::string&)> writeLog)
         : shared(io, settings, callers, upstreams, std::move(writeLog))
         , handler(shared)
-        , server(io, makeServerLimits(), [this](const http::Request& request, http::Exchange& exchange) {
+        , server(io, makeServerLimits({}), [this](const http::Request& request, http::Exchange& exchange) {
             http::Response response = handler.handle(request, exchange);
             // Tells the caller to go to another VM with its next request.
             if (shared.isStopping)
@@ -81,7 +84,10 @@
 
 void EntryThread::applyRoutes(std::shared_ptr<const routing::RouteTable> routes)
 {
-    thread_.call([&] { state_->shared.applyRoutes(routes); });
+    thread_.call([&] {
+        state_->server.setLimits(makeServerLimits(routes->configuration().limits));
+        state_->shared.applyRoutes(routes);
+    });
 }
 
 void EntryThread::applyUpstreams(std::vector<discovery::KnownUpstream> upstreams)
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -274,17 +274,6 @@
         pump(name);
 }
 
-void Directory::retireAll()
-{
-    for (Handle& handle : handles_)
-        handle.pool->retire();
-}
-
-bool Directory::isIdle() const
-{
-    return std::ranges::all_of(handles_, [](const Handle& handle) { return handle.pool->isIdle(); });
-}
-
 std::size_t Directory::connectionCount() const
 {
     std::size_t count = 0;
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -61,10 +61,8 @@
 
     balancing::ShardLoad load(const ServiceState&, base::TimePoint goal, base::Duration typical) const;
 
+    // Breaks off what takes too long, opens and closes connections, and starts waiting work.
     void sweep();
-    void retireAll();
-    bool isIdle() const;
-    bool hasUpstreams() const { return !current_.empty(); }
     std::size_t upstreamCount() const { return current_.size(); }
     std::size_t connectionCount() const;
     upstreamclient::PoolCounters counters() const;
--- a/src/entry/internal/entrystate.cpp
+++ b/src/entry/internal/entrystate.cpp
@@ -1,5 +1,7 @@
 #include "entry/internal/entrystate.h"
 
+#include <algorithm>
+
 namespace flamingousher::entry {
 
 namespace {
@@ -19,7 +21,6 @@
     , log({}, { now, std::move(writeLog) })
     , records(KeptRecords)
     , directory(ioContext, settings, upstreams, log, now)
-    , random(std::random_device {}())
 {
 }
 
--- a/src/entry/internal/entrystate.h
+++ b/src/entry/internal/entrystate.h
@@ -12,7 +12,6 @@
 
 #include <map>
 #include <memory>
-#include <random>
 #include <string>
 
 namespace flamingousher::entry {
@@ -42,7 +41,6 @@
     std::shared_ptr<const routing::RouteTable> routes; // null until a configuration is known
     routing::ServiceSplit split;
     std::map<std::string, fanout::PartTimes> times; // by route
-    std::mt19937_64 random;
     std::uint64_t lastId { 0 };
     bool isStopping { false };
 };
--- a/src/entry/types.h
+++ b/src/entry/types.h
@@ -36,7 +36,7 @@
 struct CallerProtocol {
     std::function<tl::expected<CallerCall, base::Error>(const http::Request&)> decode;
 
-    // The merged answer. An error when the parts cannot be merged.
+    // The merged answer, with what is missing.
     std::function<http::Response(const http::Request&, const GatheredAnswer&)> encodeGathered;
 
     // One upstream's answer, unchanged.
@@ -49,7 +49,6 @@
 };
 
 struct EntrySettings {
-    std::string vm; // name of this VM, for people
     std::string zone;
     std::string region;
     std::map<std::string, std::string> regions; // by availability zone
--- a/src/fleet/sourcechooser.cpp
+++ b/src/fleet/sourcechooser.cpp
@@ -21,6 +21,7 @@
         for (const NodeInfo& vm : vms)
             zones[vm.zone].push_back(vm);
         std::vector<NodeInfo> watchers;
+        watchers.reserve(zones.size());
         for (const auto& [zone, members] : zones)
             watchers.push_back(*rendezvousNodes(members, WatcherKey, 1).front());
         return watchers;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -22,6 +22,9 @@
     // Starts to listen. With sharing, several threads may listen on the same address.
     boost::system::error_code listen(const Endpoint&, bool isShared = false);
 
+    // In force for the requests that are read after the call.
+    void setLimits(const ServerLimits& limits) { state_->limits = limits; }
+
     // Stops to accept; connections close after the response in progress.
     void beginShutdown();
 
--- a/src/platform/tests/vmtests.cpp
+++ b/src/platform/tests/vmtests.cpp
@@ -58,10 +58,11 @@
     void publish() { entry_->applyUpstreams(entries_); }
     discovery::UpstreamEntry& entry(std::size_t index) { return entries_.at(index).entry; }
 
-    void applyRoutes(std::uint64_t version = 1)
+    void applyRoutes(const routing::CallerLimits& limits = {})
     {
         routing::Configuration configuration;
-        configuration.version = version;
+        configuration.version = 1;
+        configuration.limits = limits;
         configuration.routes = { { .name = "all",
                                      .host = "h",
                                      .pathPrefix = "/all/",
@@ -264,6 +265,16 @@
     cr_assert_eq(status, 503);
 }
 
+Test(Vm, boundsWhatACallerMaySend)
+{
+    Vm vm(CallersPort + 11);
+    const std::string longPath = "/one/" + std::string(4'000, 'x');
+    cr_assert_eq(vm.get(longPath, "id-1").result_int(), 200);
+    vm.applyRoutes({ .headerBytes = 1'000 });
+    cr_assert_eq(vm.get(longPath, "id-2").result_int(), 413);
+    cr_assert_eq(vm.get("/one/1", "id-3").result_int(), 200);
+}
+
 Test(Vm, answersWithinTheTimeThatTheCallerGives)
 {
     Vm vm(CallersPort + 10);
--- a/src/upstreamclient/connectionpool.cpp
+++ b/src/upstreamclient/connectionpool.cpp
@@ -173,14 +173,9 @@
 {
     isRetired_ = true;
     for (const auto& connection : std::vector(connections_)) {
-        if (connection->isRetirable())
+        if (!connection->isBusy())
             connection->close("retired");
     }
 }
 
-bool ConnectionPool::isIdle() const
-{
-    return std::ranges::none_of(connections_, [](const auto& connection) { return connection->isBusy(); });
-}
-
 } // namespace flamingousher::upstreamclient
--- a/src/upstreamclient/connectionpool.h
+++ b/src/upstreamclient/connectionpool.h
@@ -53,7 +53,6 @@
     // Takes no new attempts; connections close once their attempts have ended.
     void retire();
 
-    bool isIdle() const;
     std::size_t connectionCount() const { return connections_.size(); }
     const PoolCounters& counters() const { return counters_; }
     const PoolSettings& settings() const { return settings_; }
--- a/src/upstreamclient/internal/connection.h
+++ b/src/upstreamclient/internal/connection.h
@@ -35,7 +35,6 @@
     bool isSilent(base::TimePoint now) const;
     base::TimePoint sentAt() const { return sentAt_; }
     base::TimePoint lastProgress() const { return lastProgress_; }
-    bool isRetirable() const { return !attempt_; }
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
