Let one type, one place and one pass serve where two did

Cause, from reading the whole change: sources of the store's contents had two types with a conversion between; the view of the fleet settled in the wiring; boot numbers, socket options and the start of a daemon were written twice; two flags told one state; connections were dealt out twice for each upstream, and anew for versions that change routes only. Change: fleet::Source alone; FleetMember shows settled views; runtime holds the socket options, daemon/identity the boot number, one template starts either daemon; an enum for contact; one allotment for each upstream and change.

--- a/src/control/fleetmember.cpp
+++ b/src/control/fleetmember.cpp
@@ -19,6 +19,11 @@
     constexpr std::size_t MembersPerMessage = 30;
     constexpr base::Duration ChangeTime = std::chrono::milliseconds(500);
 
+    // A view is shown once it has not changed for the first time, and at the latest after the second: VMs that start
+    // together find each other within a second, and with half a view each would take too large a share of upstreams.
+    constexpr base::Duration SettleTime = std::chrono::milliseconds(700);
+    constexpr base::Duration LongestSettling = std::chrono::milliseconds(2'500);
+
     fleet::MembershipSettings membershipSettings()
     {
         fleet::MembershipSettings settings;
@@ -41,7 +46,7 @@
           { [this] { return random_(); },
               [this] {
                   changedAt_ = now();
-                  hooks_.onChange();
+                  isViewNew_ = true;
               },
               [this](const fleet::NodeInfo& from, const fleet::ConfigurationMark& mark) {
                   hooks_.onRevision(from, mark.revision);
@@ -69,14 +74,26 @@
 
 void FleetMember::run()
 {
+    shownAt_ = now();
     for (;;) {
         send(membership_.tick(now()));
         if (now() - changedAt_ < ChangeTime)
             send(membership_.announce(ChangeFanOut));
+        showView();
         runtime::sleepFor(io_, TickInterval);
     }
 }
 
+void FleetMember::showView()
+{
+    const bool isSettled = now() - changedAt_ >= SettleTime || now() - shownAt_ >= LongestSettling;
+    if (!isViewNew_ || !isSettled)
+        return;
+    isViewNew_ = false;
+    shownAt_ = now();
+    hooks_.onView(nodes());
+}
+
 void FleetMember::send(const std::vector<fleet::Outgoing>& outgoing)
 {
     std::vector<fleet::FleetOutgoing> messages;
--- a/src/control/fleetmember.h
+++ b/src/control/fleetmember.h
@@ -17,8 +17,8 @@
 class FleetMember {
 public:
     struct Hooks {
-        // The VMs that are alive have changed.
-        std::function<void()> onChange;
+        // The VMs that are alive, this one first, once their number has settled after a change.
+        std::function<void(const std::vector<fleet::NodeInfo>&)> onView;
 
         // A VM has told a revision of the store.
         std::function<void(const fleet::NodeInfo& from, std::uint64_t revision)> onRevision;
@@ -46,6 +46,7 @@
 
 private:
     void send(const std::vector<fleet::Outgoing>&);
+    void showView();
 
     boost::asio::io_context& io_;
     Hooks hooks_;
@@ -53,7 +54,9 @@
     fleet::Membership membership_;
     peers::FleetTransport transport_;
     std::uint64_t revision_ { 0 };
-    base::TimePoint changedAt_; // of the view
+    bool isViewNew_ { false };
+    base::TimePoint changedAt_; // last change of the view
+    base::TimePoint shownAt_;
 };
 
 } // namespace flamingousher::control
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/daemon.h"
 
+#include "daemon/identity.h"
 #include "http/client.h"
 #include "runtime/sleep.h"
 
@@ -9,7 +10,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <random>
 
 namespace flamingousher::daemon {
 
@@ -17,25 +17,18 @@
 
     constexpr std::chrono::milliseconds DrainCheckInterval { 10 };
 
-    std::uint64_t makeBootNumber()
-    {
-        std::random_device random;
-        return (static_cast<std::uint64_t>(random()) << 32) | random();
-    }
-
-    peers::PeerIdentity makeIdentity(const settings::DaemonSettings& settings)
+    fleet::NodeInfo makeNode(const settings::DaemonSettings& settings)
     {
         const std::string endpoint = settings.address + ":" + std::to_string(settings.peers.port());
-        return { { { endpoint, makeBootNumber() }, settings.zone, settings.region, http::toString(settings.operators),
-                     settings.trafficThreads },
-            settings.peerKey };
+        return { { endpoint, 0 }, settings.zone, settings.region, http::toString(settings.operators),
+            settings.trafficThreads };
     }
 
 } // namespace
 
 Daemon::Daemon(settings::DaemonSettings settings)
     : settings_(std::move(settings))
-    , identity_(makeIdentity(settings_))
+    , identity_(makeIdentity(makeNode(settings_), settings_.peerKey))
     , control_("control")
 {
     for (std::uint32_t index = 0; index < settings_.trafficThreads; ++index)
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -10,8 +10,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
-#include <fstream>
-#include <iterator>
+#include <memory>
 
 DEFINE_string(settings, "", "INI file with the settings of this process.");
 DEFINE_bool(check, false, "Check the settings file and exit.");
@@ -55,57 +54,29 @@
     return false;
 }
 
-std::string readText(const std::string& file)
+// Starts the daemon with the settings, if they are right, and runs it until it is stopped.
+template <typename Settings, typename MakeDaemon>
+int run(const tl::expected<Settings, std::vector<std::string>>& settings, MakeDaemon makeDaemon)
 {
-    std::ifstream stream(file);
-    return { std::istreambuf_iterator<char>(stream), {} };
-}
-
-int printFaults(const std::vector<std::string>& faults)
-{
-    for (const std::string& line : faults)
-        std::fprintf(stderr, "%s\n", line.c_str());
-    return ExitSettings;
-}
-
-template <typename Daemon> int run(Daemon& daemon)
-{
-    if (const auto started = daemon.start(); !started) {
+    if (!settings) {
+        for (const std::string& line : settings.error())
+            std::fprintf(stderr, "%s\n", line.c_str());
+        return ExitSettings;
+    }
+    if (FLAGS_check)
+        return 0;
+    const auto daemon = makeDaemon(*settings);
+    if (const auto started = daemon->start(); !started) {
         std::fprintf(stderr, "%s\n", started.error().c_str());
         std::_Exit(ExitPorts);
     }
-    const bool isClean = daemon.runUntilStopped();
+    const bool isClean = daemon->runUntilStopped();
     spdlog::shutdown();
     std::fflush(nullptr);
     // Fibers that wait for idle connections are not unwound.
     std::_Exit(isClean ? 0 : ExitShutdownTimeout);
 }
 
-int runOnStore()
-{
-    const auto settings = flamingousher::settings::loadVmSettings(FLAGS_settings);
-    if (!settings)
-        return printFaults(settings.error());
-    if (FLAGS_check)
-        return 0;
-    flamingousher::daemon::VmDaemon daemon(*settings, FLAGS_settings);
-    return run(daemon);
-}
-
-int runOnTables()
-{
-    const auto settings = flamingousher::settings::loadSettings(FLAGS_settings);
-    if (!settings)
-        return printFaults(settings.error());
-    if (FLAGS_check)
-        return 0;
-    configureLog(*settings);
-    // A stopped process is sent one when the session that started it ends.
-    std::signal(SIGHUP, SIG_IGN);
-    flamingousher::daemon::Daemon daemon(*settings);
-    return run(daemon);
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -121,7 +92,16 @@
         return ExitUsage;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    using flamingousher::settings::PlatformKind;
-    const bool isOnStore = flamingousher::settings::platformKind(readText(FLAGS_settings)) == PlatformKind::Store;
-    return isOnStore ? runOnStore() : runOnTables();
+    using namespace flamingousher;
+    if (settings::loadPlatformKind(FLAGS_settings) == settings::PlatformKind::Store) {
+        return run(settings::loadVmSettings(FLAGS_settings), [](const settings::VmSettings& vmSettings) {
+            return std::make_unique<daemon::VmDaemon>(vmSettings, FLAGS_settings);
+        });
+    }
+    // A stopped process is sent one when the session that started it ends.
+    std::signal(SIGHUP, SIG_IGN);
+    return run(settings::loadSettings(FLAGS_settings), [](const settings::DaemonSettings& daemonSettings) {
+        configureLog(daemonSettings);
+        return std::make_unique<daemon::Daemon>(daemonSettings);
+    });
 }
--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/vmdaemon.h"
 
+#include "daemon/identity.h"
 #include "http/client.h"
 #include "platform/callerprotocol.h"
 #include "platform/readiness.h"
@@ -29,22 +30,10 @@
     // A VM that hears of newer contents and does not get them from its source within this time asks who told it.
     constexpr std::chrono::milliseconds CatchUpTime { 300 };
 
-    // A view of the fleet is used once it has not changed for the first time, and at the latest after the second: VMs
-    // that start together find each other within a second, and half a view would give each too many connections.
-    constexpr base::Duration FleetSettleTime = std::chrono::milliseconds(700);
-    constexpr base::Duration LongestFleetDelay = std::chrono::milliseconds(2'500);
-
-    std::uint64_t makeBootNumber()
-    {
-        std::random_device random;
-        return (static_cast<std::uint64_t>(random()) << 32) | random();
-    }
-
-    peers::PeerIdentity makeIdentity(const settings::VmSettings& settings)
+    fleet::NodeInfo makeNode(const settings::VmSettings& settings)
     {
-        return { { { http::toString(settings.gossip), makeBootNumber() }, settings.zone, settings.region,
-                     http::toString(settings.operators), 1 },
-            settings.peerKey };
+        return { { http::toString(settings.gossip), 0 }, settings.zone, settings.region,
+            http::toString(settings.operators), 1 };
     }
 
     entry::EntrySettings makeEntrySettings(const settings::VmSettings& settings)
@@ -69,7 +58,7 @@
     , control_("control")
     , log_({}, { [] { return std::chrono::steady_clock::now(); }, writeLog_ })
     , entry_(makeEntrySettings(settings_), platform::makeCallerProtocol(), platform::makeUpstreamProtocol(), writeLog_)
-    , identity_(makeIdentity(settings_))
+    , identity_(makeIdentity(makeNode(settings_), settings_.peerKey))
     , sources_(http::toString(settings_.store))
 {
 }
@@ -85,7 +74,6 @@
                 } });
         fleet_ = std::make_unique<control::FleetMember>(control_.io(), identity_, makeFleetHooks());
         fleet_->setSeeds(settings_.seeds);
-        fleetAppliedAt_ = std::chrono::steady_clock::now();
         watcher_ = std::make_unique<platform::StoreWatcher>(control_.io(), makeWatcherHooks());
         relay_ = std::make_unique<platform::StoreRelay>(
             control_.io(), watcher_->mirror(), [this] { return watcher_->isFresh(); });
@@ -119,17 +107,16 @@
 
 platform::StoreWatcher::Hooks VmDaemon::makeWatcherHooks()
 {
-    using Source = platform::StoreWatcher::Source;
+    using fleet::Source;
     const auto random = std::make_shared<std::mt19937>(std::random_device {}());
     return {
         [] { return std::chrono::steady_clock::now(); },
         [random] { return (*random)(); },
         [this] { return chooseSource(); },
         [this](const Source& source, const base::Error& error) {
-            sources_.onFailed({ http::toString(source.endpoint), source.isStore }, std::chrono::steady_clock::now());
+            sources_.onFailed(source, std::chrono::steady_clock::now());
             log_.decision("source_failed",
-                { { "source", http::toString(source.endpoint) }, { "is_store", source.isStore },
-                    { "reason", toString(error) } });
+                { { "source", source.endpoint }, { "is_store", source.isStore }, { "reason", toString(error) } });
         },
         [this](const routing::Configuration& configuration) { controller_->onConfiguration(configuration); },
         [this](const std::vector<discovery::UpstreamEntry>& entries) { controller_->onAllUpstreams(entries); },
@@ -142,21 +129,17 @@
     };
 }
 
-platform::StoreWatcher::Source VmDaemon::chooseSource()
+fleet::Source VmDaemon::chooseSource()
 {
     // A VM that has just started knows nobody and reads the store itself.
-    const auto source = sources_.choose(fleet_->nodes(), fleet_->self(), std::chrono::steady_clock::now());
-    // Sources are endpoints that VMs have told of themselves; a wrong one is as good as none.
-    const auto endpoint = http::parseEndpoint(source.endpoint);
-    platform::StoreWatcher::Source chosen = endpoint ? platform::StoreWatcher::Source { *endpoint, source.isStore }
-                                                     : platform::StoreWatcher::Source { settings_.store, true };
-    if (chosen != lastSource_)
-        log_.decision("source", { { "source", http::toString(chosen.endpoint) }, { "is_store", chosen.isStore } });
-    lastSource_ = chosen;
-    return chosen;
+    const fleet::Source source = sources_.choose(fleet_->nodes(), fleet_->self(), std::chrono::steady_clock::now());
+    if (source != lastSource_)
+        log_.decision("source", { { "source", source.endpoint }, { "is_store", source.isStore } });
+    lastSource_ = source;
+    return lastSource_;
 }
 
-void VmDaemon::onCaughtUp(const platform::StoreWatcher::Source& source)
+void VmDaemon::onCaughtUp(const fleet::Source& source)
 {
     controller_->publish();
     relay_->onChanged();
@@ -166,27 +149,16 @@
 control::FleetMember::Hooks VmDaemon::makeFleetHooks()
 {
     return {
-        [this] {
-            isFleetNew_ = true;
-            fleetChangedAt_ = std::chrono::steady_clock::now();
-        },
+        [this](const std::vector<fleet::NodeInfo>& vms) { onFleetView(vms); },
         [this](const fleet::NodeInfo& from, std::uint64_t revision) { onPeerRevision(from, revision); },
     };
 }
 
-// Members come and go in series, and each change of the view costs a look at every upstream.
-void VmDaemon::applyFleet()
+void VmDaemon::onFleetView(const std::vector<fleet::NodeInfo>& vms)
 {
-    const base::TimePoint now = std::chrono::steady_clock::now();
-    const bool isSettled = now - fleetChangedAt_ >= FleetSettleTime || now - fleetAppliedAt_ >= LongestFleetDelay;
-    if (!isFleetNew_ || !isSettled)
-        return;
-    isFleetNew_ = false;
-    fleetAppliedAt_ = now;
-    const auto nodes = fleet_->nodes();
-    log_.change("fleet", { { "vms", nodes.size() }, { "before", vms_ } });
-    vms_ = nodes.size();
-    entry_.applyFleet(nodes, fleet_->self());
+    log_.change("fleet", { { "vms", vms.size() }, { "before", vms_ } });
+    vms_ = vms.size();
+    entry_.applyFleet(vms, fleet_->self());
 }
 
 void VmDaemon::onPeerRevision(const fleet::NodeInfo& from, std::uint64_t revision)
@@ -199,8 +171,8 @@
         if (revision <= watcher_->revision())
             return;
         log_.decision("source_behind",
-            { { "source", http::toString(lastSource_.endpoint) }, { "revision", watcher_->revision() },
-                { "newer", revision }, { "at", from.operators } });
+            { { "source", lastSource_.endpoint }, { "revision", watcher_->revision() }, { "newer", revision },
+                { "at", from.operators } });
         sources_.prefer(from.operators, std::chrono::steady_clock::now());
         watcher_->reconsider();
     });
@@ -211,7 +183,6 @@
     for (;;) {
         runtime::sleepFor(control_.io(), TickInterval);
         controller_->tick();
-        applyFleet();
     }
 }
 
--- a/src/discovery/types.h
+++ b/src/discovery/types.h
@@ -29,13 +29,6 @@
     }
 };
 
-// One change of the published entries.
-struct UpstreamRemoval {
-    std::string id;
-
-    bool operator==(const UpstreamRemoval&) const = default;
-};
-
 // An upstream that may receive work, or finishes what it has.
 struct KnownUpstream {
     UpstreamEntry entry;
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -3,6 +3,7 @@
 #include "fleet/connectionallotment.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace flamingousher::entry {
 
@@ -105,11 +106,12 @@
 UpstreamId Directory::add(const discovery::KnownUpstream& known)
 {
     const auto id = static_cast<UpstreamId>(handles_.size());
+    const std::size_t allotted = allotment(known.entry);
     const auto pool = std::make_shared<ConnectionPool>(
-        io_, poolSettings(known.entry), protocol_, poolHooks(id, known.entry.service));
+        io_, poolSettings(known.entry, allotted), protocol_, poolHooks(id, known.entry.service));
     handles_.push_back({ known, pool });
     swept_.push_back(id);
-    selector_.setUpstream(id, distance(known.entry), known.coldUntil);
+    selector_.setUpstream(id, distance(known.entry, allotted), known.coldUntil);
     if (known.entry.isDraining) {
         retire(id);
         return id;
@@ -149,9 +151,9 @@
     };
 }
 
-base::Duration Directory::distance(const discovery::UpstreamEntry& entry) const
+base::Duration Directory::distance(const discovery::UpstreamEntry& entry, std::size_t allotted) const
 {
-    const base::Duration standby = allotment(entry) == 0 ? StandbyDistance : base::Duration::zero();
+    const base::Duration standby = allotted == 0 ? StandbyDistance : base::Duration::zero();
     if (entry.zone == settings_.zone)
         return standby;
     const auto region = settings_.regions.find(entry.zone);
@@ -170,15 +172,14 @@
     return std::min(own, MostConnections);
 }
 
-upstreamclient::PoolSettings Directory::poolSettings(const discovery::UpstreamEntry& entry) const
+upstreamclient::PoolSettings Directory::poolSettings(const discovery::UpstreamEntry& entry, std::size_t allotted) const
 {
-    const std::size_t connections = allotment(entry);
     // Nothing is opened ahead of need before it is known how many VMs share the upstream.
     const std::size_t warm = vms_.empty() ? 0 : entry.zone == settings_.zone ? WarmNearConnections : WarmFarConnections;
     // Published endpoints are checked where they are decoded.
     const auto endpoint = http::parseEndpoint(entry.endpoint);
-    return { entry.id, endpoint.value_or(http::Endpoint {}), std::max<std::size_t>(1, connections),
-        std::min(connections, warm) };
+    return { entry.id, endpoint.value_or(http::Endpoint {}), std::max<std::size_t>(1, allotted),
+        std::min(allotted, warm) };
 }
 
 balancing::RetryBudgetSettings Directory::budgetSettings() const
@@ -188,9 +189,13 @@
 
 void Directory::applyConfiguration(const routing::RouteTable& routes)
 {
-    mostConnections_.clear();
+    std::map<std::string, std::uint32_t> mostConnections;
     for (const routing::Service& service : routes.configuration().services)
-        mostConnections_[service.name] = service.mostConnections;
+        mostConnections[service.name] = service.mostConnections;
+    // Most versions change routes only; dealing out connections anew costs a look at every VM for each upstream.
+    if (mostConnections == mostConnections_)
+        return;
+    mostConnections_ = std::move(mostConnections);
     refreshLimits();
 }
 
@@ -207,8 +212,9 @@
     for (const auto& [name, state] : services_) {
         state->budget.setSettings(budgetSettings());
         for (UpstreamId id : state->upstreams) {
-            handles_[id].pool->setSettings(poolSettings(entry(id)));
-            selector_.setUpstream(id, distance(entry(id)), handles_[id].upstream.coldUntil);
+            const std::size_t allotted = allotment(entry(id));
+            handles_[id].pool->setSettings(poolSettings(entry(id), allotted));
+            selector_.setUpstream(id, distance(entry(id), allotted), handles_[id].upstream.coldUntil);
             if (mostConnections_.contains(name))
                 handles_[id].pool->keepWarm();
         }
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -79,8 +79,8 @@
     UpstreamId add(const discovery::KnownUpstream&);
     void retire(UpstreamId);
     void pump(const std::string& service);
-    base::Duration distance(const discovery::UpstreamEntry&) const;
-    upstreamclient::PoolSettings poolSettings(const discovery::UpstreamEntry&) const;
+    base::Duration distance(const discovery::UpstreamEntry&, std::size_t allotted) const;
+    upstreamclient::PoolSettings poolSettings(const discovery::UpstreamEntry&, std::size_t allotted) const;
     std::size_t allotment(const discovery::UpstreamEntry&) const;
     balancing::RetryBudgetSettings budgetSettings() const;
     upstreamclient::ConnectionPool::Hooks poolHooks(UpstreamId, const std::string& service);
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -199,7 +199,7 @@
         .add();
     state_.metrics.histogram("flamingousher_request_duration_seconds", "Time to answer a caller.", { { "rank", rank } })
         .observe(std::chrono::duration<double>(elapsed).count());
-    if (outcome == "complete" && state_.nextId() % SuccessSample != 0)
+    if (outcome == "complete" && ++successes_ % SuccessSample != 0)
         return;
     if (outcome != "complete")
         keepRecord(routed, outcome, active);
--- a/src/entry/internal/requesthandler.h
+++ b/src/entry/internal/requesthandler.h
@@ -37,6 +37,7 @@
     void keepRecord(const Routed&, const std::string& outcome, const ActiveRequest*);
 
     EntryState& state_;
+    std::uint64_t successes_ { 0 };
 };
 
 } // namespace flamingousher::entry
--- /dev/null
+++ b/src/runtime/socketoptions.cpp
@@ -0,0 +1,28 @@
+#include "runtime/socketoptions.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace flamingousher::runtime {
+
+namespace {
+
+    void setOption(int socket, int level, int option, int value)
+    {
+        ::setsockopt(socket, level, option, &value, sizeof(value));
+    }
+
+} // namespace
+
+void setConnectionOptions(boost::asio::ip::tcp::socket& socket, const LossDetection& loss)
+{
+    const int handle = socket.native_handle();
+    setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(loss.unacknowledged.count()));
+    setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(loss.keepaliveIdle.count()));
+    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, static_cast<int>(loss.keepaliveInterval.count()));
+    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, loss.keepaliveProbes);
+}
+
+} // namespace flamingousher::runtime
--- a/src/settings/vmsettings.cpp
+++ b/src/settings/vmsettings.cpp
@@ -103,6 +103,11 @@
     return PlatformKind::Tables;
 }
 
+PlatformKind loadPlatformKind(const std::string& file)
+{
+    return platformKind(readFile(file).value_or(std::string()));
+}
+
 tl::expected<VmSettings, std::vector<std::string>> loadVmSettings(const std::string& file)
 {
     return readFile(file).and_then([&](const std::string& text) { return parseVmSettings(file, text); });
--- a/src/settings/vmsettings.h
+++ b/src/settings/vmsettings.h
@@ -39,8 +39,9 @@
     bool operator==(const VmSettings&) const = default;
 };
 
-// Reads [platform] kind. A text without it is of the kind Tables.
+// Reads [platform] kind. A text without it, or a file that cannot be read, is of the kind Tables.
 PlatformKind platformKind(const std::string& text);
+PlatformKind loadPlatformKind(const std::string& file);
 
 // Reads and checks a settings file. On failure lists every fault, each naming file, section and key.
 tl::expected<VmSettings, std::vector<std::string>> loadVmSettings(const std::string& file);
--- a/src/transport/internal/connection.cpp
+++ b/src/transport/internal/connection.cpp
@@ -1,21 +1,17 @@
 #include "transport/internal/connection.h"
 
-#include <netinet/tcp.h>
+#include "runtime/socketoptions.h"
+
 #include <sys/socket.h>
 
 namespace flamingousher::transport {
 
 namespace {
 
-    constexpr int UnacknowledgedTimeoutMs = 400;
-    constexpr int KeepaliveIdleSeconds = 5;
-    constexpr int KeepaliveIntervalSeconds = 1;
-    constexpr int KeepaliveProbes = 3;
-
-    void setOption(int socket, int level, int option, int value)
-    {
-        ::setsockopt(socket, level, option, &value, sizeof(value));
-    }
+    constexpr runtime::LossDetection UpstreamLoss { .unacknowledged = std::chrono::milliseconds(400),
+        .keepaliveIdle = std::chrono::seconds(5),
+        .keepaliveInterval = std::chrono::seconds(1),
+        .keepaliveProbes = 3 };
 
 } // namespace
 
@@ -29,13 +25,7 @@
 
 void setUpstreamOptions(boost::asio::ip::tcp::socket& socket)
 {
-    const int handle = socket.native_handle();
-    setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedTimeoutMs);
-    setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
-    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, KeepaliveIdleSeconds);
-    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, KeepaliveIntervalSeconds);
-    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, KeepaliveProbes);
+    runtime::setConnectionOptions(socket, UpstreamLoss);
 }
 
 bool isClosedByPeer(boost::asio::ip::tcp::socket& socket)
--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -2,13 +2,11 @@
 
 #include "runtime/connect.h"
 #include "runtime/fiberthread.h"
+#include "runtime/socketoptions.h"
 #include "runtime/usefiber.h"
 
 #include <boost/asio/write.hpp>
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 namespace flamingousher::upstreamclient {
 
 namespace beast = boost::beast;
@@ -26,10 +24,10 @@
 
     // Sent data that the other kernel does not acknowledge for this long is lost with its connection. Upstreams that
     // pause still acknowledge.
-    constexpr int UnacknowledgedTimeoutMs = 500;
-    constexpr int KeepaliveIdleSeconds = 2;
-    constexpr int KeepaliveIntervalSeconds = 1;
-    constexpr int KeepaliveProbes = 2;
+    constexpr runtime::LossDetection UpstreamLoss { .unacknowledged = std::chrono::milliseconds(500),
+        .keepaliveIdle = std::chrono::seconds(2),
+        .keepaliveInterval = std::chrono::seconds(1),
+        .keepaliveProbes = 2 };
 
     // An idle connection is not used in the last part of the time that the upstream has stated.
     constexpr base::Duration IdleMargin = std::chrono::milliseconds(700);
@@ -44,24 +42,6 @@
     constexpr std::uint64_t MostAnswerBytes = 8ULL * 1024 * 1024;
     constexpr unsigned FirstFinalStatus = 200;
 
-    void setOption(int socket, int level, int option, int value)
-    {
-        ::setsockopt(socket, level, option, &value, sizeof(value));
-    }
-
-    void setOptions(boost::asio::ip::tcp::socket& socket)
-    {
-        const int handle = socket.native_handle();
-        setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-        setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedTimeoutMs);
-        setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
-        setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, KeepaliveIdleSeconds);
-        setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, KeepaliveIntervalSeconds);
-        setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, KeepaliveProbes);
-        error_code ignored;
-        socket.non_blocking(true, ignored);
-    }
-
 } // namespace
 
 Connection::Connection(boost::asio::io_context& io, std::shared_ptr<ConnectionPool> pool)
@@ -80,7 +60,9 @@
         return false;
     }
     socket_ = *std::move(socket);
-    setOptions(socket_);
+    runtime::setConnectionOptions(socket_, UpstreamLoss);
+    error_code ignored;
+    socket_.non_blocking(true, ignored);
     isOpen_ = true;
     openedAt_ = pool_->hooks_.now();
     lastProgress_ = openedAt_;
