Remember slow and refusing upstreams longer where requests are rare

Cause: in a fleet of 80 VMs one VM meets a replica every two seconds, and what it learnt of it had a half-life of 1.5 to 2 s: it met the same slow or shedding replica again and again. A test replays 80 VMs' rate; it failed before.

--- a/src/balancing/replicaselector.cpp
+++ b/src/balancing/replicaselector.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace flamingousher::balancing {
 
@@ -17,6 +18,12 @@
     constexpr base::Duration SlownessHalfLife = std::chrono::milliseconds(1'500);
     constexpr base::Duration FailureHalfLife = std::chrono::milliseconds(2'000);
 
+    // What is learnt is to outlast this many further requests at the upstream, but no disturbance by far.
+    constexpr double RememberedRequests = 3;
+    constexpr double MostMemoryFactor = 6;
+    constexpr double IntervalWeight = 0.1;
+    constexpr base::Duration LongestInterval = std::chrono::seconds(10); // after a pause, the rate starts anew
+
     // An attempt older than this many usual times is taken as a sign that the upstream stands still.
     constexpr double StallFactor = 2.5;
 
@@ -26,6 +33,11 @@
     constexpr double FailureFactor = 10;
     constexpr double ColdFactor = 1.6; // a searcher that has just started needs about this much longer
 
+    base::Duration scaled(base::Duration duration, double factor)
+    {
+        return std::chrono::duration_cast<base::Duration>(duration * factor);
+    }
+
     double halvings(base::Duration elapsed, base::Duration halfLife)
     {
         return std::exp2(-std::max(0.0, std::chrono::duration<double>(elapsed) / halfLife));
@@ -52,14 +64,27 @@
     known.coldUntil = coldUntil;
 }
 
+void ReplicaSelector::noteConsidered(Stats& stats, std::size_t candidates, base::TimePoint now)
+{
+    const base::Duration interval = now - std::exchange(stats.lastConsidered, now);
+    if (interval > LongestInterval)
+        return;
+    stats.considerInterval
+        += std::chrono::duration_cast<base::Duration>(IntervalWeight * (interval - stats.considerInterval));
+    const base::Duration remembered = std::chrono::duration_cast<base::Duration>(
+        RememberedRequests * static_cast<double>(candidates) * stats.considerInterval);
+    stats.memoryFactor
+        = std::clamp(std::chrono::duration<double>(remembered) / SlownessHalfLife, 1.0, MostMemoryFactor);
+}
+
 double ReplicaSelector::decayedSlowness(const Stats& stats, base::TimePoint now)
 {
-    return 1 + (stats.slowness - 1) * halvings(now - stats.slownessAt, SlownessHalfLife);
+    return 1 + (stats.slowness - 1) * halvings(now - stats.slownessAt, scaled(SlownessHalfLife, stats.memoryFactor));
 }
 
 double ReplicaSelector::decayedFailureRate(const Stats& stats, base::TimePoint now)
 {
-    return stats.failureRate * halvings(now - stats.failureAt, FailureHalfLife);
+    return stats.failureRate * halvings(now - stats.failureAt, scaled(FailureHalfLife, stats.memoryFactor));
 }
 
 base::Duration ReplicaSelector::expected(UpstreamId upstream, base::Duration typical, base::TimePoint now) const
@@ -83,8 +108,12 @@
 }
 
 ReplicaSelector::Choice ReplicaSelector::choose(std::span<const UpstreamId> candidates,
-    std::span<const UpstreamId> tried, base::Duration typical, base::TimePoint now) const
+    std::span<const UpstreamId> tried, base::Duration typical, base::TimePoint now)
 {
+    if (tried.empty()) {
+        for (UpstreamId upstream : candidates)
+            noteConsidered(stats(upstream), candidates.size(), now);
+    }
     Choice choice;
     base::Duration least = base::Duration::max();
     for (UpstreamId upstream : candidates) {
--- a/src/balancing/replicaselector.h
+++ b/src/balancing/replicaselector.h
@@ -12,7 +12,8 @@
 // Estimates how long each upstream would take for one more request, and chooses the quickest that has room.
 // Load pattern: a few replicas of many shards pause for 0.1 s every few seconds, work several times slower for
 // seconds, fall silent, or refuse part of their work while their health is good. An attempt that stays without
-// answer counts against its upstream at once, long before it fails.
+// answer counts against its upstream at once, long before it fails. In a large fleet one VM meets an upstream every few
+// seconds: what it learns is kept the longer, the more seldom it could learn it anew.
 class ReplicaSelector {
 public:
     struct Hooks {
@@ -43,7 +44,7 @@
 
     // typical: usual time of an attempt of this kind of request at any upstream.
     Choice choose(std::span<const UpstreamId> candidates, std::span<const UpstreamId> tried, base::Duration typical,
-        base::TimePoint now) const;
+        base::TimePoint now);
 
     // Expected time of one more attempt.
     base::Duration expected(UpstreamId, base::Duration typical, base::TimePoint now) const;
@@ -77,11 +78,15 @@
         base::TimePoint slownessAt;
         double failureRate { 0 };
         base::TimePoint failureAt;
+        base::TimePoint lastConsidered;
+        base::Duration considerInterval { 0 }; // mean time between requests that this upstream could take
+        double memoryFactor { 1 }; // of the half-lives
         std::vector<InFlight> inFlight; // oldest first
     };
 
     Stats& stats(UpstreamId);
     static std::optional<InFlight> take(Stats&, AttemptId);
+    static void noteConsidered(Stats&, std::size_t candidates, base::TimePoint now);
     static double decayedSlowness(const Stats&, base::TimePoint now);
     static double decayedFailureRate(const Stats&, base::TimePoint now);
     static void learnSlowness(Stats&, double ratio, base::TimePoint now);
--- a/src/balancing/tests/replicaselectortests.cpp
+++ b/src/balancing/tests/replicaselectortests.cpp
@@ -22,7 +22,7 @@
         selector.setUpstream(2, milliseconds(2), {});
     }
 
-    UpstreamId choose(base::TimePoint now, const std::vector<UpstreamId>& tried = {}) const
+    UpstreamId choose(base::TimePoint now, const std::vector<UpstreamId>& tried = {})
     {
         return selector.choose(candidates, tried, Typical, now).upstream;
     }
@@ -115,3 +115,22 @@
     harness.selector.onAnswered(0, 1, Start + milliseconds(1'000));
     cr_assert_float_eq(harness.selector.slowness(0, Start), 1, 1e-9);
 }
+
+// Load pattern: 80 VMs share the requests, so that one of them meets each replica every two seconds; half of the
+// replicas refuse part of their work for ten seconds.
+Test(ReplicaSelector, remembersLongerWhereRequestsAreRare)
+{
+    const auto chosenAfterRefusal = [](base::Duration interval) {
+        Harness harness;
+        base::TimePoint now = Start;
+        for (; now < Start + milliseconds(7'000); now += interval)
+            harness.choose(now);
+        harness.selector.onSent(0, 1, Typical, now);
+        harness.selector.onFailed(0, 1, now);
+        for (const base::TimePoint end = now + milliseconds(9'000); now < end; now += interval)
+            harness.choose(now);
+        return harness.choose(now);
+    };
+    cr_assert_eq(chosenAfterRefusal(milliseconds(50)), 0, "many requests: tried again within seconds");
+    cr_assert_neq(chosenAfterRefusal(milliseconds(700)), 0, "the next request would be refused again");
+}
