Keep room at the upstreams for all VMs to come back at once

Change: a VM keeps warm only its part of half of an upstream's connections; the rest opens under load and closes when idle. The part of both limits comes from one computed place among the VMs. A test adds up the warm connections of 72 VMs.

--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -21,6 +21,10 @@
     // More connections to one upstream than this are of no use: its slots are far fewer.
     constexpr std::size_t MostConnections = 12;
 
+    // Load pattern: all VMs lose power at once. The upstreams count the connections of before until these time out, so
+    // the same number must find room beside them.
+    constexpr double WarmPart = 0.5;
+
     // One more near than far: most work stays in the zone, hedges leave it.
     constexpr std::size_t WarmNearConnections = 2;
     constexpr std::size_t WarmFarConnections = 1;
@@ -106,7 +110,7 @@
 UpstreamId Directory::add(const discovery::KnownUpstream& known)
 {
     const auto id = static_cast<UpstreamId>(handles_.size());
-    const std::size_t allotted = allotment(known.entry);
+    const Allotted allotted = allotment(known.entry);
     const auto pool = std::make_shared<ConnectionPool>(
         io_, poolSettings(known.entry, allotted), protocol_, poolHooks(id, known.entry.service));
     handles_.push_back({ known, pool });
@@ -151,9 +155,9 @@
     };
 }
 
-base::Duration Directory::distance(const discovery::UpstreamEntry& entry, std::size_t allotted) const
+base::Duration Directory::distance(const discovery::UpstreamEntry& entry, const Allotted& allotted) const
 {
-    const base::Duration standby = allotted == 0 ? StandbyDistance : base::Duration::zero();
+    const base::Duration standby = allotted.most == 0 ? StandbyDistance : base::Duration::zero();
     if (entry.zone == settings_.zone)
         return standby;
     const auto region = settings_.regions.find(entry.zone);
@@ -161,25 +165,26 @@
     return standby + (isSameRegion ? OtherZoneDistance : OtherRegionDistance);
 }
 
-// The connections that this VM may keep open to the upstream.
-std::size_t Directory::allotment(const discovery::UpstreamEntry& entry) const
+Directory::Allotted Directory::allotment(const discovery::UpstreamEntry& entry) const
 {
     const auto found = mostConnections_.find(entry.service);
     const std::uint32_t most = found == mostConnections_.end() ? UnknownConnections : found->second;
     const std::uint32_t shared = most > ReservedConnections ? most - ReservedConnections : most;
-    const std::size_t own = vms_.empty() ? std::max<std::size_t>(1, shared / settings_.assumedVms)
-                                         : fleet::allotConnections(vms_, self_, entry.id, entry.zone, shared);
-    return std::min(own, MostConnections);
+    // Nothing is opened ahead of need before it is known how many VMs share the upstream.
+    if (vms_.empty())
+        return { std::clamp<std::size_t>(shared / settings_.assumedVms, 1, MostConnections), 0 };
+    const fleet::ConnectionAllotment allotment(vms_, self_, entry.id, entry.zone);
+    const std::size_t warm = entry.zone == settings_.zone ? WarmNearConnections : WarmFarConnections;
+    return { std::min(allotment.of(shared), MostConnections),
+        std::min(allotment.of(static_cast<std::size_t>(shared * WarmPart)), warm) };
 }
 
-upstreamclient::PoolSettings Directory::poolSettings(const discovery::UpstreamEntry& entry, std::size_t allotted) const
+upstreamclient::PoolSettings Directory::poolSettings(
+    const discovery::UpstreamEntry& entry, const Allotted& allotted) const
 {
-    // Nothing is opened ahead of need before it is known how many VMs share the upstream.
-    const std::size_t warm = vms_.empty() ? 0 : entry.zone == settings_.zone ? WarmNearConnections : WarmFarConnections;
     // Published endpoints are checked where they are decoded.
     const auto endpoint = http::parseEndpoint(entry.endpoint);
-    return { entry.id, endpoint.value_or(http::Endpoint {}), std::max<std::size_t>(1, allotted),
-        std::min(allotted, warm) };
+    return { entry.id, endpoint.value_or(http::Endpoint {}), std::max<std::size_t>(1, allotted.most), allotted.warm };
 }
 
 balancing::RetryBudgetSettings Directory::budgetSettings() const
@@ -212,7 +217,7 @@
     for (const auto& [name, state] : services_) {
         state->budget.setSettings(budgetSettings());
         for (UpstreamId id : state->upstreams) {
-            const std::size_t allotted = allotment(entry(id));
+            const Allotted allotted = allotment(entry(id));
             handles_[id].pool->setSettings(poolSettings(entry(id), allotted));
             selector_.setUpstream(id, distance(entry(id), allotted), handles_[id].upstream.coldUntil);
             if (mostConnections_.contains(name))
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -75,13 +75,24 @@
 
     const std::map<std::string, UpstreamId>& current() const { return current_; }
 
+    // Connections of one upstream that fall to this VM.
+    struct Allotted {
+        std::size_t most { 0 };
+        std::size_t warm { 0 }; // of these, kept open ahead of need
+
+        bool operator==(const Allotted&) const = default;
+    };
+
+    // What this VM may open to the upstream, and keeps open.
+    Allotted allotted(UpstreamId id) const { return allotment(entry(id)); }
+
 private:
     UpstreamId add(const discovery::KnownUpstream&);
     void retire(UpstreamId);
     void pump(const std::string& service);
-    base::Duration distance(const discovery::UpstreamEntry&, std::size_t allotted) const;
-    upstreamclient::PoolSettings poolSettings(const discovery::UpstreamEntry&, std::size_t allotted) const;
-    std::size_t allotment(const discovery::UpstreamEntry&) const;
+    base::Duration distance(const discovery::UpstreamEntry&, const Allotted&) const;
+    upstreamclient::PoolSettings poolSettings(const discovery::UpstreamEntry&, const Allotted&) const;
+    Allotted allotment(const discovery::UpstreamEntry&) const;
     balancing::RetryBudgetSettings budgetSettings() const;
     upstreamclient::ConnectionPool::Hooks poolHooks(UpstreamId, const std::string& service);
     void refreshLimits();
--- a/src/entry/tests/directorytests.cpp
+++ b/src/entry/tests/directorytests.cpp
@@ -119,3 +119,30 @@
         cr_assert_eq(service->queue.size(), 0);
     });
 }
+
+// Load pattern: all VMs lose power at once and come back. Their upstreams still count the connections of before, which
+// nobody has closed.
+Test(Directory, keepsNoMoreOpenThanFitsTwice)
+{
+    withHarness([](Harness& harness) {
+        constexpr std::size_t Limit = 68;
+        harness.configure(Limit);
+        harness.directory.apply({ harness.upstream("u", "s") });
+        const UpstreamId id = harness.directory.service("s")->upstreams.at(0);
+        std::vector<fleet::NodeInfo> vms;
+        for (int vm = 0; vm < 72; ++vm) {
+            const std::string name = "vm-" + std::to_string(vm);
+            vms.push_back({ { name, 1 }, vm % 3 ? "b" : "a", "r", name, 1 });
+        }
+        std::size_t warm = 0;
+        std::size_t most = 0;
+        for (const fleet::NodeInfo& vm : vms) {
+            harness.directory.setFleet(vms, vm);
+            warm += harness.directory.allotted(id).warm;
+            most += harness.directory.allotted(id).most;
+        }
+        cr_assert_geq(warm, 24, "every VM of the zone keeps one");
+        cr_assert_leq(2 * warm, Limit);
+        cr_assert_eq(most, Limit - 2, "under load all are used, but two for VMs that join");
+    });
+}
--- a/src/fleet/connectionallotment.cpp
+++ b/src/fleet/connectionallotment.cpp
@@ -7,18 +7,22 @@
 
 namespace flamingousher::fleet {
 
-std::size_t allotConnections(const std::vector<NodeInfo>& vms, const NodeInfo& self, std::string_view upstream,
-    std::string_view upstreamZone, std::size_t limit)
+ConnectionAllotment::ConnectionAllotment(
+    const std::vector<NodeInfo>& vms, const NodeInfo& self, std::string_view upstream, std::string_view upstreamZone)
 {
     const auto rank = [&](const NodeInfo& node) {
         return std::tuple(node.zone != upstreamZone, ~rendezvousWeight(node, upstream), node.id);
     };
     const auto own = rank(self);
-    const auto before = static_cast<std::size_t>(
+    before_ = static_cast<std::size_t>(
         std::ranges::count_if(vms, [&](const NodeInfo& node) { return node.id != self.id && rank(node) < own; }));
     const bool isListed = std::ranges::any_of(vms, [&](const NodeInfo& node) { return node.id == self.id; });
-    const std::size_t count = vms.size() + (isListed ? 0 : 1);
-    return limit <= before ? 0 : (limit - before - 1) / count + 1;
+    vms_ = vms.size() + (isListed ? 0 : 1);
+}
+
+std::size_t ConnectionAllotment::of(std::size_t connections) const
+{
+    return connections <= before_ ? 0 : (connections - before_ - 1) / vms_ + 1;
 }
 
 } // namespace flamingousher::fleet
--- a/src/fleet/tests/connectionallotmenttests.cpp
+++ b/src/fleet/tests/connectionallotmenttests.cpp
@@ -19,7 +19,7 @@
 std::size_t allot(const std::vector<NodeInfo>& vms, std::size_t vm, const std::string& upstream,
     const std::string& zone, std::size_t limit)
 {
-    return allotConnections(vms, vms[vm], upstream, zone, limit);
+    return ConnectionAllotment(vms, vms[vm], upstream, zone).of(limit);
 }
 
 } // namespace
@@ -62,7 +62,7 @@
     vms.pop_back();
     std::size_t sum = 0;
     for (const NodeInfo& vm : makeVms(3, 3))
-        sum += allotConnections(vm.id == self.id ? vms : makeVms(3, 3), vm, "u", "z0", 31);
+        sum += ConnectionAllotment(vm.id == self.id ? vms : makeVms(3, 3), vm, "u", "z0").of(31);
     cr_assert_eq(sum, 31);
-    cr_assert_eq(allotConnections({}, self, "u", "z0", 5), 5);
+    cr_assert_eq(ConnectionAllotment({}, self, "u", "z0").of(5), 5);
 }
