--- a/src/balancing/replicaselector.cpp
+++ b/src/balancing/replicaselector.cpp
@@ -22,7 +22,8 @@
     constexpr double RememberedRequests = 3;
     constexpr double MostMemoryFactor = 6;
     constexpr double IntervalWeight = 0.1;
-    constexpr base::Duration LongestInterval = std::chrono::seconds(10); // after a pause, the rate starts anew
+    constexpr std::uint32_t LeastIntervals = 8; // one gap between two requests does not make them rare
+    constexpr base::Duration LongestInterval = std::chrono::seconds(10); // a longer gap says nothing about the rate
 
     // An attempt older than this many usual times is taken as a sign that the upstream stands still.
     constexpr double StallFactor = 2.5;
@@ -69,8 +70,11 @@
     const base::Duration interval = now - std::exchange(stats.lastConsidered, now);
     if (interval > LongestInterval)
         return;
+    ++stats.intervals;
     stats.considerInterval
         += std::chrono::duration_cast<base::Duration>(IntervalWeight * (interval - stats.considerInterval));
+    if (stats.intervals < LeastIntervals)
+        return;
     const base::Duration remembered = std::chrono::duration_cast<base::Duration>(
         RememberedRequests * static_cast<double>(candidates) * stats.considerInterval);
     stats.memoryFactor
--- a/src/balancing/replicaselector.h
+++ b/src/balancing/replicaselector.h
@@ -80,6 +80,7 @@
         base::TimePoint failureAt;
         base::TimePoint lastConsidered;
         base::Duration considerInterval { 0 }; // mean time between requests that this upstream could take
+        std::uint32_t intervals { 0 }; // that the mean is taken over
         double memoryFactor { 1 }; // of the half-lives
         std::vector<InFlight> inFlight; // oldest first
     };
