Close spare connections after 2 s

Cause: after a power loss of all VMs the searchers still refused connections of the new VMs for want of room: 72 VMs had opened some 100 of 162 searchers each within the last 5 s, half again of what they keep warm. Change: a connection beyond the warm ones closes after 2 s without use instead of 5 s.

--- a/src/upstreamclient/connectionpool.cpp
+++ b/src/upstreamclient/connectionpool.cpp
@@ -16,7 +16,7 @@
     constexpr base::Duration LowLimitTime = std::chrono::seconds(2);
 
     // Connections beyond the warm ones are closed when they have not been used for so long; other VMs may need them.
-    constexpr base::Duration SpareIdleTime = std::chrono::seconds(5);
+    constexpr base::Duration SpareIdleTime = std::chrono::seconds(2);
 
 } // namespace
 
