Wait for a connection until the goal instead of failing a query at once

Cause: after a power loss of all VMs searchers accept a part of the new connections for some seconds. A shard whose replicas had each refused one connection was given up at once, and with two such shards of 36 the whole query failed, its other parts thrown away. A replica that had not been reached counted as tried, and the hedge timer of a failed attempt went on. Change: a replica that refused the connection may be tried again; its shard waits until the goal, not longer; a failed attempt has no hedge timer. Tests replay both (the first failed before).

--- a/src/fanout/fanoutquery.cpp
+++ b/src/fanout/fanoutquery.cpp
@@ -57,8 +57,10 @@
         send(shard, choice.upstream, isExtra, now, actions);
         return;
     }
-    // After a failure another upstream is needed; before the first attempt one may still be found.
-    if (choice.verdict == ReplicaSelector::Verdict::NoneUsable && !state.tried.empty()) {
+    // Before the first attempt an upstream may still be found, and one that has not accepted a connection may until the
+    // goal; after other failures another upstream is needed.
+    const bool mayBecomeUsable = state.couldNotConnect ? now < spec_.answerBy : state.tried.empty();
+    if (choice.verdict == ReplicaSelector::Verdict::NoneUsable && !mayBecomeUsable) {
         giveUp(shard);
         return;
     }
@@ -106,14 +108,21 @@
     if (!found || isFinished_)
         return actions;
     Shard& state = shards_[found->shard];
+    const UpstreamId upstream = state.inFlight[found->attempt].upstream;
     state.inFlight.erase(state.inFlight.begin() + static_cast<std::ptrdiff_t>(found->attempt));
     state.lastFailure = failure.reason;
+    if (!failure.reachedUpstream) {
+        std::erase(state.tried, upstream);
+        state.couldNotConnect = true;
+    }
     if (failure.runState == RunState::NotRun)
         --state.runs;
     else
         hasRunSomewhere_ = true;
-    if (state.inFlight.empty())
+    if (state.inFlight.empty()) {
+        state.hedgeAt = base::TimePoint::max();
         retry(found->shard, failure, now, actions);
+    }
     finishIfSettled(now, actions);
     return actions;
 }
@@ -137,6 +146,15 @@
     sendOrAwait(shard, failure.reachedUpstream, now, actions);
 }
 
+// Beyond the goal the caller is better served by another try at another VM, which may have connections.
+void FanoutQuery::giveUpUnconnected()
+{
+    for (std::uint32_t shard = 0; shard < shards_.size(); ++shard) {
+        if (shards_[shard].isAwaitingConnection())
+            giveUp(shard);
+    }
+}
+
 void FanoutQuery::giveUp(std::uint32_t shard)
 {
     Shard& state = shards_[shard];
@@ -171,6 +189,11 @@
         finish(Ending::Answered, actions);
         return actions;
     }
+    if (now >= spec_.answerBy)
+        giveUpUnconnected();
+    finishIfSettled(now, actions);
+    if (isFinished_)
+        return actions;
     for (std::uint32_t shard = 0; shard < shards_.size(); ++shard) {
         if (now >= shards_[shard].hedgeAt)
             hedge(shard, now, actions);
@@ -202,8 +225,11 @@
     base::TimePoint next = spec_.deadline;
     if (isEnough(answered_))
         next = std::min(next, spec_.answerBy);
-    for (const Shard& shard : shards_)
+    for (const Shard& shard : shards_) {
         next = std::min(next, shard.hedgeAt);
+        if (shard.isAwaitingConnection())
+            next = std::min(next, spec_.answerBy);
+    }
     return next;
 }
 
--- a/src/fanout/fanoutquery.h
+++ b/src/fanout/fanoutquery.h
@@ -59,12 +59,14 @@
         bool isAnswered { false };
         bool isGivenUp { false };
         bool isAwaitingRoom { false };
-        bool isHedged { false };
+        bool couldNotConnect { false }; // an attempt did not reach its upstream
         std::uint32_t runs { 0 }; // attempts that ran, or may have
         std::vector<Attempt> inFlight;
         std::vector<UpstreamId> tried;
         base::TimePoint hedgeAt { base::TimePoint::max() };
         std::string lastFailure;
+
+        bool isAwaitingConnection() const { return isAwaitingRoom && couldNotConnect && inFlight.empty(); }
     };
 
     struct Found {
@@ -77,6 +79,7 @@
     void sendOrAwait(std::uint32_t shard, bool isExtra, base::TimePoint now, std::vector<Action>&);
     void retry(std::uint32_t shard, const AttemptFailure&, base::TimePoint now, std::vector<Action>&);
     void hedge(std::uint32_t shard, base::TimePoint now, std::vector<Action>&);
+    void giveUpUnconnected();
     void giveUp(std::uint32_t shard);
     void finishIfSettled(base::TimePoint now, std::vector<Action>&);
     void finish(Ending, std::vector<Action>&);
--- a/src/fanout/tests/fanoutquerytests.cpp
+++ b/src/fanout/tests/fanoutquerytests.cpp
@@ -64,6 +64,11 @@
         note(query.onFailed(attempts[shard].at(attempt).attempt, { runState, true, "lost" }, at));
     }
 
+    void failToConnect(std::uint32_t shard, base::TimePoint at, std::size_t attempt)
+    {
+        note(query.onFailed(attempts[shard].at(attempt).attempt, { RunState::NotRun, false, "refused" }, at));
+    }
+
     int extras { 100 };
     std::uint64_t lastId { 0 };
     std::set<UpstreamId> busy;
@@ -226,3 +231,39 @@
     cr_assert(harness.finish->ending == Ending::TimedOut);
     cr_assert(harness.finish->runState == RunState::Run);
 }
+
+// Load pattern: all VMs have lost power and are back. For some seconds upstreams accept a part of the connections only.
+Test(FanoutQuery, waitsForAConnectionUntilItsGoal)
+{
+    Harness harness(10);
+    harness.start();
+    for (std::uint32_t shard = 0; shard < 8; ++shard)
+        harness.answer(shard, Start + milliseconds(10));
+    for (std::uint32_t shard = 8; shard < 10; ++shard) {
+        harness.dead.insert({ 10 * shard, 10 * shard + 1, 10 * shard + 2 });
+        harness.failToConnect(shard, Start + milliseconds(2), 0);
+    }
+    cr_assert(!harness.finish, "8 of 10 are too few, but two may still come");
+    cr_assert(harness.query.nextTimer() == Start + milliseconds(100));
+    harness.dead.clear();
+    harness.note(harness.query.onRoom(8, Start + milliseconds(60)));
+    cr_assert_eq(harness.attempts[8].back().upstream, 80, "the same upstream may be tried again");
+    harness.answer(8, Start + milliseconds(70), harness.attempts[8].size() - 1);
+    harness.note(harness.query.onTimer(Start + milliseconds(100)));
+    cr_assert(harness.finish->ending == Ending::Answered);
+    cr_assert_eq(harness.finish->answered, 9);
+}
+
+Test(FanoutQuery, doesNotHoldACallerBeyondItsGoalForAConnection)
+{
+    Harness harness(10);
+    harness.start();
+    for (std::uint32_t shard = 0; shard < 8; ++shard)
+        harness.answer(shard, Start + milliseconds(10));
+    for (std::uint32_t shard = 8; shard < 10; ++shard) {
+        harness.dead.insert({ 10 * shard, 10 * shard + 1, 10 * shard + 2 });
+        harness.failToConnect(shard, Start + milliseconds(12), 0);
+    }
+    harness.note(harness.query.onTimer(Start + milliseconds(100)));
+    cr_assert(harness.finish->ending == Ending::Failed);
+}
