Add a fault soak of real processes

Change: soak/ starts processes of the product on loopback, before stand-ins of the store and the upstreams behind a proxy that delays, resets, cuts one way and silences; kills, pauses, stops and restarts them by signals; publishes versions, lets upstreams leave and crash; and checks what callers and upstreams see against twelve promises.

--- /dev/null
+++ b/soak/deployment.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "platform/standins/searcherstandin.h"
+#include "platform/standins/storestandin.h"
+#include "soak/promises.h"
+#include "soak/proxy.h"
+#include "soak/vmprocess.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace flamingousher::soak {
+
+struct DeploymentSpec {
+    std::string daemon;
+    std::string folder;
+    std::uint32_t slot { 0 }; // of the loopback addresses, so that several runs fit on one machine
+    std::size_t vms { 5 };
+
+    bool operator==(const DeploymentSpec&) const = default;
+};
+
+// One upstream of the deployment: a stand-in behind a proxy.
+struct Upstream {
+    discovery::UpstreamEntry entry;
+    std::unique_ptr<platform::SearcherStandIn> standIn;
+    std::unique_ptr<Proxy> proxy;
+    bool isListed { true };
+};
+
+// VMs of the product as processes, before stand-ins of the store and the upstreams. Each VM has its own way to the
+// store, each upstream one that all VMs share. Used on one thread.
+class Deployment {
+public:
+    Deployment(boost::asio::io_context&, const DeploymentSpec&, Promises&, std::function<TimePoint()> now);
+
+    // Starts everything and publishes the first version.
+    void start();
+
+    // Publishes the next version, whose shards are other services than those of the two before.
+    void publishNext();
+    void setDraining(std::size_t upstream);
+    void list(std::size_t upstream);
+    void unlist(std::size_t upstream);
+
+    // An upstream of the same service in the place of one that has left, under a new name.
+    void replace(std::size_t upstream);
+
+    std::size_t vmCount() const { return vms_.size(); }
+    VmProcess& vm(std::size_t index) { return *vms_.at(index); }
+    Proxy& wayToStore(std::size_t vm) { return *storeProxies_.at(vm); }
+    Proxy& wayToCallers(std::size_t vm) { return *callerProxies_.at(vm); }
+    http::Endpoint callersEndpoint(std::size_t vm) const;
+    std::vector<Upstream>& upstreams() { return upstreams_; }
+    platform::StoreStandIn& store() { return store_; }
+
+private:
+    http::Endpoint endpoint(std::uint32_t group, std::size_t index, std::uint16_t port) const;
+    void add(const std::string& service, const std::string& zone);
+
+    boost::asio::io_context& io_;
+    DeploymentSpec spec_;
+    Promises& promises_;
+    std::function<TimePoint()> now_;
+    platform::StoreStandIn store_;
+    std::vector<Upstream> upstreams_;
+    std::vector<std::unique_ptr<Proxy>> storeProxies_;
+    std::vector<std::unique_ptr<Proxy>> callerProxies_;
+    std::vector<std::unique_ptr<VmProcess>> vms_;
+    std::uint64_t version_ { 0 };
+};
+
+} // namespace flamingousher::soak
