Take signals from the first moment to the last

The handler stood only after the start, and went with the set of signals as soon as a planned stop began: a change of the settings, or a second request to stop, then ended the process and cut what was in flight. Change: SIGHUP is ignored from the beginning of main, and both daemons keep their set of signals until the end.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,7 +4,6 @@
 #include "http/client.h"
 #include "runtime/sleep.h"
 
-#include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
 #include <spdlog/spdlog.h>
 
@@ -30,6 +29,7 @@
     : settings_(std::move(settings))
     , identity_(makeIdentity(makeNode(settings_), settings_.peerKey))
     , control_("control")
+    , signals_(control_.io(), SIGTERM, SIGINT)
 {
     for (std::uint32_t index = 0; index < settings_.trafficThreads; ++index)
         traffic_.push_back(std::make_unique<traffic::TrafficThread>(
@@ -150,9 +150,8 @@
 bool Daemon::runUntilStopped()
 {
     control_.call([this] {
-        boost::asio::signal_set signals(control_.io(), SIGTERM, SIGINT);
         boost::system::error_code ignored;
-        signals.async_wait(runtime::useFiber[ignored]);
+        signals_.async_wait(runtime::useFiber[ignored]);
     });
     return shutDown();
 }
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -6,6 +6,8 @@
 #include "settings/daemonsettings.h"
 #include "traffic/trafficthread.h"
 
+#include <boost/asio/signal_set.hpp>
+
 #include <memory>
 #include <string>
 #include <vector>
@@ -43,6 +45,7 @@
     std::unique_ptr<http::Server> operators_;
     std::unique_ptr<control::FleetController> fleet_;
     metrics::Registry metrics_;
+    boost::asio::signal_set signals_; // kept until the end: signals that come during the shutdown are taken and ignored
     bool isStopping_ { false };
 };
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -92,14 +92,15 @@
         return ExitUsage;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    // A change of the settings may be told while the process starts, which reads them anyway; and a stopped process is
+    // sent this signal when the session that started it ends.
+    std::signal(SIGHUP, SIG_IGN);
     using namespace flamingousher;
     if (settings::loadPlatformKind(FLAGS_settings) == settings::PlatformKind::Store) {
         return run(settings::loadVmSettings(FLAGS_settings), [](const settings::VmSettings& vmSettings) {
             return std::make_unique<daemon::VmDaemon>(vmSettings, FLAGS_settings);
         });
     }
-    // A stopped process is sent one when the session that started it ends.
-    std::signal(SIGHUP, SIG_IGN);
     return run(settings::loadSettings(FLAGS_settings), [](const settings::DaemonSettings& daemonSettings) {
         configureLog(daemonSettings);
         return std::make_unique<daemon::Daemon>(daemonSettings);
--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -7,7 +7,6 @@
 #include "platform/upstreamprotocol.h"
 #include "runtime/sleep.h"
 
-#include <boost/asio/signal_set.hpp>
 #include <boost/json.hpp>
 
 #include <csignal>
@@ -60,6 +59,7 @@
     , entry_(makeEntrySettings(settings_), platform::makeCallerProtocol(), platform::makeUpstreamProtocol(), writeLog_)
     , identity_(makeIdentity(makeNode(settings_), settings_.peerKey))
     , sources_(http::toString(settings_.store))
+    , signals_(control_.io(), SIGTERM, SIGINT, SIGHUP)
 {
 }
 
@@ -262,10 +262,9 @@
 
 void VmDaemon::runSignals()
 {
-    boost::asio::signal_set signals(control_.io(), SIGTERM, SIGINT, SIGHUP);
     for (;;) {
         boost::system::error_code error;
-        const int signal = signals.async_wait(runtime::useFiber[error]);
+        const int signal = signals_.async_wait(runtime::useFiber[error]);
         if (!error && signal != SIGHUP)
             return;
         reload();
--- a/src/daemon/vmdaemon.h
+++ b/src/daemon/vmdaemon.h
@@ -12,6 +12,8 @@
 #include "runtime/fiberthread.h"
 #include "settings/vmsettings.h"
 
+#include <boost/asio/signal_set.hpp>
+
 #include <memory>
 #include <string>
 
@@ -67,7 +69,7 @@
     bool isCatchingUp_ { false };
     std::unique_ptr<http::Server> readiness_;
     std::unique_ptr<http::Server> operators_;
-    runtime::Signal stopRequested_;
+    boost::asio::signal_set signals_; // kept until the end: signals that come during the shutdown are taken and ignored
     bool isStopping_ { false };
 };
 
