See the crash of an upstream whose listener closes last

Cause: when a connection to an upstream is lost, one new connection tells whether its process has crashed. The kernel closes the sockets of a dying process one after the other; if the listener is still open, the lost connection counted as lost only, and the request that had caused it was tried at another upstream. Change: an upstream that accepts and then breaks off is asked again twice, 10 ms apart.

--- a/src/transport/tests/upstreamlinktests.cpp
+++ b/src/transport/tests/upstreamlinktests.cpp
@@ -1,6 +1,8 @@
 #include "http/server.h"
 #include "runtime/fiberthread.h"
+#include "runtime/listen.h"
 #include "runtime/sleep.h"
+#include "runtime/usefiber.h"
 #include "transport/upstreamlink.h"
 
 #include <criterion/criterion.h>
@@ -217,3 +219,37 @@
     cr_expect_eq(error->runState, RunState::NotRun);
     cr_expect_eq(crashes, 0);
 }
+
+// The sockets of a process that dies are closed one after the other, the one that listens perhaps last.
+Test(UpstreamLink, seesACrashWhoseListenerClosesLast)
+{
+    runtime::FiberThread thread("test");
+    const auto [error, crashes] = thread.call([&] {
+        auto* pair = new Pair(thread.io(), 18208);
+        const http::Endpoint endpoint = pair->server_->localEndpoint();
+        pair->server_.reset();
+        auto* acceptor = new boost::asio::ip::tcp::acceptor(thread.io());
+        runtime::listenOn(*acceptor, endpoint);
+        runtime::spawnFiber([&thread, acceptor] {
+            bool isDying = false;
+            runtime::acceptEach(*acceptor, [&](boost::asio::ip::tcp::socket socket) {
+                char bytes[4096];
+                boost::system::error_code ignored;
+                socket.async_read_some(boost::asio::buffer(bytes), runtime::useFiber[ignored]);
+                if (!std::exchange(isDying, true)) {
+                    runtime::spawnFiber([&thread, acceptor] {
+                        runtime::sleepFor(thread.io(), milliseconds(8));
+                        boost::system::error_code error;
+                        acceptor->close(error);
+                    });
+                }
+            });
+        });
+        pair->submit(1);
+        pair->waitUntilEnded(1);
+        return std::pair(pair->lastError_, pair->crashes_);
+    });
+    cr_assert(error.has_value());
+    cr_expect_eq(error->code, ErrorCode::UpstreamCrashed);
+    cr_expect_eq(crashes, 1);
+}
--- a/src/transport/upstreamlink.cpp
+++ b/src/transport/upstreamlink.cpp
@@ -3,6 +3,7 @@
 #include "http/client.h"
 #include "runtime/connect.h"
 #include "runtime/fiberthread.h"
+#include "runtime/sleep.h"
 #include "runtime/timeout.h"
 #include "runtime/usefiber.h"
 #include "transport/internal/connection.h"
@@ -39,6 +40,10 @@
 
     constexpr std::chrono::milliseconds CrashCheckTimeout { 50 };
 
+    // A process that dies may accept for some milliseconds after its other connections have been lost.
+    constexpr int CrashChecks = 3;
+    constexpr std::chrono::milliseconds CrashCheckPause { 10 };
+
     constexpr std::uint64_t MaximumAnswerBytes = 8ULL * 1024 * 1024;
 
 } // namespace
@@ -262,9 +267,16 @@
 // A lost connection alone is no crash: the upstream must refuse a new one.
 bool UpstreamLink::hasCrashed()
 {
-    const auto status
-        = http::fetch(io_, endpoint_, http::makeRequest(verb::get, std::string(StatusPath)), CrashCheckTimeout);
-    return !status && status.error().step == Step::Connect;
+    for (int check = 0; check < CrashChecks; ++check) {
+        const auto status
+            = http::fetch(io_, endpoint_, http::makeRequest(verb::get, std::string(StatusPath)), CrashCheckTimeout);
+        if (status)
+            return false;
+        if (status.error().step == Step::Connect)
+            return true;
+        runtime::sleepFor(io_, CrashCheckPause);
+    }
+    return false;
 }
 
 void UpstreamLink::finish(SubRequestId id, tl::expected<SubValue, Error> value)
