--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -66,15 +66,10 @@
     , deployment_(deployment)
     , promises_(promises)
     , now_(std::move(now))
-    , random_(seed)
+    , draw_(seed)
 {
 }
 
-std::uint32_t Callers::draw(std::uint32_t below)
-{
-    return std::uniform_int_distribution<std::uint32_t>(0, below - 1)(random_);
-}
-
 void Callers::start(std::size_t count)
 {
     for (std::size_t caller = 0; caller < count; ++caller)
@@ -84,8 +79,8 @@
 void Callers::run()
 {
     while (!isStopping_) {
-        useConnection(draw(static_cast<std::uint32_t>(deployment_.vmCount())));
-        runtime::sleepFor(io_, std::chrono::milliseconds(1 + draw(MostPauseMs)));
+        useConnection(draw_.below(static_cast<std::uint32_t>(deployment_.vmCount())));
+        runtime::sleepFor(io_, draw_.time(1, MostPauseMs));
     }
 }
 
@@ -96,22 +91,22 @@
     if (!socket)
         return;
     beast::tcp_stream stream(*std::move(socket));
-    const std::uint32_t requests = 1 + draw(MostRequestsOfAConnection);
+    const std::uint32_t requests = 1 + draw_.below(MostRequestsOfAConnection);
     for (std::uint32_t request = 0; request < requests && !isStopping_; ++request) {
         if (!exchange(stream, vm, start))
             return;
-        runtime::sleepFor(io_, std::chrono::milliseconds(1 + draw(MostPauseMs)));
+        runtime::sleepFor(io_, draw_.time(1, MostPauseMs));
     }
 }
 
 // One request and its response. False when the connection is of no more use.
 bool Callers::exchange(beast::tcp_stream& stream, std::size_t vm, std::uint32_t start)
 {
-    const bool asksShards = draw(10) < GatheredOfTen;
+    const bool asksShards = draw_.below(10) < GatheredOfTen;
     const std::chrono::milliseconds allowed = asksShards ? GatherAllowed : SingleAllowed;
     const std::string id = "r" + std::to_string(++sent_);
-    http::Request request
-        = http::makeRequest(beast::http::verb::get, (asksShards ? "/all/" : "/one/") + std::to_string(draw(1'000)));
+    http::Request request = http::makeRequest(
+        beast::http::verb::get, (asksShards ? "/all/" : "/one/") + std::to_string(draw_.below(1'000)));
     request.set(beast::http::field::host, "soak");
     request.set(beast::string_view(platform::field::RequestId.data(), platform::field::RequestId.size()), id);
     request.set(beast::string_view(platform::field::DeadlineMs.data(), platform::field::DeadlineMs.size()),
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "soak/deployment.h"
+#include "soak/draw.h"
 
 #include <boost/beast/core/tcp_stream.hpp>
 
-#include <random>
-
 namespace flamingousher::soak {
 
 // Callers that send one request after the other, on connections that they keep for as long as these last. Used on one
@@ -22,13 +21,12 @@
     void run();
     void useConnection(std::size_t vm);
     bool exchange(boost::beast::tcp_stream&, std::size_t vm, std::uint32_t start);
-    std::uint32_t draw(std::uint32_t below);
 
     boost::asio::io_context& io_;
     Deployment& deployment_;
     Promises& promises_;
     std::function<TimePoint()> now_;
-    std::mt19937_64 random_;
+    Draw draw_;
     std::size_t sent_ { 0 };
     bool isStopping_ { false };
 };
--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -32,24 +32,14 @@
     , deployment_(deployment)
     , promises_(promises)
     , now_(std::move(now))
-    , random_(seed)
+    , draw_(seed)
     , isStopping_(deployment.vmCount())
 {
 }
 
-std::uint32_t FaultPlan::draw(std::uint32_t below)
-{
-    return std::uniform_int_distribution<std::uint32_t>(0, below - 1)(random_);
-}
-
-milliseconds FaultPlan::drawTime(std::uint32_t leastMs, std::uint32_t mostMs)
-{
-    return milliseconds(leastMs + draw(mostMs - leastMs + 1));
-}
-
 std::size_t FaultPlan::drawUpstream()
 {
-    return draw(static_cast<std::uint32_t>(deployment_.upstreams().size()));
+    return draw_.below(static_cast<std::uint32_t>(deployment_.upstreams().size()));
 }
 
 void FaultPlan::spawn(std::function<void()> function)
@@ -70,7 +60,7 @@
         runtime::sleepFor(io_, CalmPhase);
         for (const TimePoint end = now_() + DisturbedPhase; now_() < end && now_() < until;) {
             disturb();
-            runtime::sleepFor(io_, drawTime(100, 1'000));
+            runtime::sleepFor(io_, draw_.time(100, 1'000));
         }
     }
     while (running_ > 0)
@@ -98,21 +88,21 @@
 void FaultPlan::runPlannedWork(TimePoint until)
 {
     while (now_() < until) {
-        runtime::sleepFor(io_, drawTime(800, 4'000));
+        runtime::sleepFor(io_, draw_.time(800, 4'000));
         doPlannedWork();
     }
 }
 
 void FaultPlan::doPlannedWork()
 {
-    switch (draw(6)) {
+    switch (draw_.below(6)) {
     case 0:
     case 1:
         deployment_.publishNext();
         return;
     case 2:
         deployment_.publishNext();
-        runtime::sleepFor(io_, drawTime(10, 600));
+        runtime::sleepFor(io_, draw_.time(10, 600));
         deployment_.publishNext();
         return;
     case 3:
@@ -128,7 +118,7 @@
 
 void FaultPlan::disturb()
 {
-    switch (draw(9)) {
+    switch (draw_.below(9)) {
     case 0:
         return killVm(drawVm());
     case 1:
@@ -148,7 +138,7 @@
     default:
         // Many at once.
         for (std::size_t vm = 0; vm < deployment_.vmCount(); ++vm) {
-            if (draw(2) == 0)
+            if (draw_.below(2) == 0)
                 killVm(vm);
         }
     }
@@ -162,7 +152,7 @@
 
 void FaultPlan::pauseVm(std::size_t vm)
 {
-    const milliseconds time = drawTime(200, 3'000);
+    const milliseconds time = draw_.time(200, 3'000);
     promises_.onTrouble(vm, now_(), now_() + time);
     deployment_.vm(vm).signal(SIGSTOP);
     spawn([this, vm, time] {
@@ -191,12 +181,22 @@
     isStopping_[vm] = false;
 }
 
+void FaultPlan::clearLater(Proxy& way, milliseconds time)
+{
+    spawn([this, &way, time] {
+        runtime::sleepFor(io_, time);
+        way.setDelay({});
+        way.setRefusing(false);
+        way.setCut(false, false);
+    });
+}
+
 void FaultPlan::disturbStore()
 {
     using platform::StoreMode;
-    const milliseconds time = drawTime(300, 4'000);
+    const milliseconds time = draw_.time(300, 4'000);
     promises_.onTroubleForAll(now_(), now_() + time);
-    const std::uint32_t kind = draw(4);
+    const std::uint32_t kind = draw_.below(4);
     if (kind == 3) {
         deployment_.store().compact();
         return;
@@ -211,77 +211,65 @@
 void FaultPlan::disturbWayToStore(std::size_t vm)
 {
     Proxy& way = deployment_.wayToStore(vm);
-    const milliseconds time = drawTime(300, 4'000);
+    const milliseconds time = draw_.time(300, 4'000);
     // The VM may be the one through which others follow the store.
     promises_.onTroubleForAll(now_(), now_() + time);
-    switch (draw(5)) {
+    switch (draw_.below(5)) {
     case 0:
         return way.resetAll();
     case 1:
         return way.silenceOpen();
     case 2:
-        way.setDelay(drawTime(20, 400));
+        way.setDelay(draw_.time(20, 400));
         break;
     case 3:
         way.setRefusing(true);
         way.resetAll();
         break;
     default:
-        way.setCut(draw(2) == 0, true);
+        way.setCut(draw_.below(2) == 0, true);
     }
-    spawn([this, &way, time] {
-        runtime::sleepFor(io_, time);
-        way.setDelay({});
-        way.setRefusing(false);
-        way.setCut(false, false);
-    });
+    clearLater(way, time);
 }
 
 void FaultPlan::disturbCallers(std::size_t vm)
 {
     Proxy& way = deployment_.wayToCallers(vm);
-    const milliseconds time = drawTime(200, 1'500);
+    const milliseconds time = draw_.time(200, 1'500);
     promises_.onTrouble(vm, now_(), now_() + time);
-    if (draw(2) == 0)
+    if (draw_.below(2) == 0)
         return way.resetAll();
-    way.setDelay(drawTime(20, 300));
-    spawn([this, &way, time] {
-        runtime::sleepFor(io_, time);
-        way.setDelay({});
-    });
+    way.setDelay(draw_.time(20, 300));
+    clearLater(way, time);
 }
 
 void FaultPlan::disturbWayToUpstream()
 {
     Upstream& upstream = deployment_.upstreams().at(drawUpstream());
     Proxy& way = *upstream.proxy;
-    const milliseconds time = drawTime(200, 3'000);
+    const milliseconds time = draw_.time(200, 3'000);
     promises_.onWayHarmed(upstream.entry.id, now_(), now_() + time);
-    switch (draw(4)) {
+    switch (draw_.below(4)) {
     case 0:
         return way.resetAll();
     case 1:
         return way.silenceOpen();
     case 2:
-        way.setDelay(drawTime(10, 200));
+        way.setDelay(draw_.time(10, 200));
         break;
     default:
-        way.setCut(draw(2) == 0, true);
+        way.setCut(draw_.below(2) == 0, true);
     }
-    spawn([this, &way, time] {
-        runtime::sleepFor(io_, time);
-        way.setDelay({});
-        way.setCut(false, false);
-    });
+    clearLater(way, time);
 }
 
 void FaultPlan::disturbUpstream()
 {
     platform::SearcherStandIn& standIn = *deployment_.upstreams().at(drawUpstream()).standIn;
     platform::SearcherBehaviour& behaviour = standIn.behaviour();
-    switch (draw(4)) {
+    switch (draw_.below(4)) {
     case 0:
-        behaviour.serviceMs = 50 + draw(200);
+        behaviour.serviceMs = 50 + draw_.below(200);
         break;
     case 1:
         behaviour.refuseFraction = 0.5;
@@ -293,7 +281,7 @@
         behaviour.loseFraction = 0.3;
     }
     spawn([this, &standIn] {
-        runtime::sleepFor(io_, drawTime(500, 3'000));
+        runtime::sleepFor(io_, draw_.time(500, 3'000));
         standIn.behaviour() = {};
     });
 }
@@ -307,7 +295,7 @@
     deployment_.upstreams().at(upstream).standIn->stop();
     deployment_.upstreams().at(upstream).proxy->resetAll();
     spawn([this, upstream] {
-        runtime::sleepFor(io_, drawTime(500, 4'000));
+        runtime::sleepFor(io_, draw_.time(500, 4'000));
         deployment_.replace(upstream);
         isDraining_ = false;
     });
--- a/soak/faultplan.h
+++ b/soak/faultplan.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "soak/deployment.h"
-
-#include <random>
+#include "soak/draw.h"
 
 namespace flamingousher::soak {
 
@@ -33,10 +32,11 @@
     void crashUpstream();
     void drainUpstream();
 
-    std::size_t drawVm() { return draw(static_cast<std::uint32_t>(deployment_.vmCount())); }
+    std::size_t drawVm() { return draw_.below(static_cast<std::uint32_t>(deployment_.vmCount())); }
     std::size_t drawUpstream();
-    std::uint32_t draw(std::uint32_t below);
-    std::chrono::milliseconds drawTime(std::uint32_t leastMs, std::uint32_t mostMs);
+
+    // Undoes after the time what has been done to the way.
+    void clearLater(Proxy&, std::chrono::milliseconds time);
 
     // Runs the function in a fiber of its own; run() waits for its end.
     void spawn(std::function<void()>);
@@ -45,7 +45,7 @@
     Deployment& deployment_;
     Promises& promises_;
     std::function<TimePoint()> now_;
-    std::mt19937_64 random_;
+    Draw draw_;
     std::size_t running_ { 0 };
     std::vector<bool> isStopping_; // VMs that were asked to stop
     bool isDraining_ { false };
