--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -29,12 +29,6 @@
     constexpr std::uint32_t MostPauseMs = 30;
     constexpr std::uint32_t GatheredOfTen = 7;
 
-    std::string field(const http::Response& response, std::string_view name)
-    {
-        const auto found = response.find(beast::string_view(name.data(), name.size()));
-        return found == response.end() ? std::string() : std::string(found->value());
-    }
-
     // A proof of a stand-in is "SERVICE.REQUEST".
     std::vector<Part> readParts(const std::string& proofs)
     {
@@ -52,9 +46,9 @@
 
     ReadAnswer readAnswer(const http::Response& response, bool asksShards)
     {
-        const std::string missing = field(response, platform::field::MissingParts);
+        const std::string missing = http::readField(response, platform::field::MissingParts);
         return { response.result_int(),
-            readParts(field(response, asksShards ? platform::field::PartStamps : platform::field::Stamp)),
+            readParts(http::readField(response, asksShards ? platform::field::PartStamps : platform::field::Stamp)),
             missing.empty() ? 0 : static_cast<std::uint32_t>(std::stoul(missing)), response.body() };
     }
 
@@ -108,9 +102,8 @@
     http::Request request = http::makeRequest(
         beast::http::verb::get, (asksShards ? "/all/" : "/one/") + std::to_string(draw_.below(1'000)));
     request.set(beast::http::field::host, "soak");
-    request.set(beast::string_view(platform::field::RequestId.data(), platform::field::RequestId.size()), id);
-    request.set(beast::string_view(platform::field::DeadlineMs.data(), platform::field::DeadlineMs.size()),
-        std::to_string(allowed.count()));
+    http::setField(request, platform::field::RequestId, id);
+    http::setField(request, platform::field::DeadlineMs, std::to_string(allowed.count()));
     request.keep_alive(true);
     promises_.onSent({ id, vm, start, asksShards, allowed, now_() });
     boost::system::error_code error;
--- a/src/entry/internal/activerequest.cpp
+++ b/src/entry/internal/activerequest.cpp
@@ -192,7 +192,6 @@
 
 void ActiveRequest::onError(AttemptId id, const Sent& sent, const Error& error)
 {
-    lastError_ = error;
     // A connection that could not be opened put no load on the upstream.
     const bool reachedUpstream = error.runState != RunState::NotRun;
     fail(id, sent, error.runState, reachedUpstream, toString(error));
--- a/src/entry/internal/activerequest.h
+++ b/src/entry/internal/activerequest.h
@@ -38,9 +38,8 @@
     // The good replies, by shard.
     std::vector<upstreamclient::UpstreamReply> takeReplies();
 
-    // The last failure that an upstream has answered, and the last error without an answer.
+    // The last failure that an upstream has answered.
     std::optional<upstreamclient::UpstreamReply>& failedReply() { return failedReply_; }
-    const std::optional<base::Error>& lastError() const { return lastError_; }
     const std::vector<Step>& steps() const { return steps_; }
 
     // When the outcome was due: a timer counts from the moment it was set for, however late it fired.
@@ -83,7 +82,6 @@
     std::vector<std::optional<upstreamclient::UpstreamReply>> replies_; // by shard
     std::vector<std::optional<balancing::WaitQueue::Key>> waiting_; // by shard
     std::optional<upstreamclient::UpstreamReply> failedReply_;
-    std::optional<base::Error> lastError_;
     std::vector<Step> steps_;
     bool isWaitingFiber_ { false };
 };
--- a/src/http/types.cpp
+++ b/src/http/types.cpp
@@ -30,6 +30,18 @@
     return boost::urls::encode({ value.data(), value.size() }, boost::urls::unreserved_chars);
 }
 
+std::string readField(const boost::beast::http::fields& fields, std::string_view name)
+{
+    const auto found = fields.find(boost::beast::string_view(name.data(), name.size()));
+    return found == fields.end() ? std::string() : std::string(found->value());
+}
+
+void setField(boost::beast::http::fields& fields, std::string_view name, std::string_view value)
+{
+    fields.set(
+        boost::beast::string_view(name.data(), name.size()), boost::beast::string_view(value.data(), value.size()));
+}
+
 Response makeResponse(const Request& request, Status status, const std::string& contentType, std::string body)
 {
     Response response { status, request.version() };
--- a/src/http/types.h
+++ b/src/http/types.h
@@ -65,6 +65,10 @@
 // Encodes a parameter value with percent escapes.
 std::string encodeParameter(std::string_view value);
 
+// The value of a header field, empty when there is none.
+std::string readField(const boost::beast::http::fields&, std::string_view name);
+void setField(boost::beast::http::fields&, std::string_view name, std::string_view value);
+
 Response makeResponse(const Request&, Status, const std::string& contentType, std::string body);
 Response makeJsonResponse(const Request&, Status, std::string body);
 
