--- a/tests/unit-test.sh
+++ b/tests/unit-test.sh
@@ -5,9 +5,10 @@
 set -uo pipefail
 known_red=$(cd "$(dirname "$0")/.." && pwd)/KNOWN-RED.txt
 known_red_limit_s=30 # a failed assertion on another thread than the test's own blocks the program
+test_limit_s=120 # ends a test that hangs
 mapfile -t tests < <(grep -oE '^check: [A-Za-z0-9_]+/[A-Za-z0-9_]+$' "$known_red" | cut -d' ' -f2)
 pattern=$(IFS='|'; echo "${tests[*]}")
-"$1" --jobs 2 ${pattern:+--filter "!($pattern)"} || exit
+"$1" --jobs 2 --timeout $test_limit_s ${pattern:+--filter "!($pattern)"} || exit
 for test in "${tests[@]}"; do
     output=$(timeout $known_red_limit_s "$1" --filter "$test" 2>&1)
     status=$?
