--- a/src/settings/tests/vmsettingstests.cpp
+++ b/src/settings/tests/vmsettingstests.cpp
@@ -50,6 +50,25 @@
     cr_assert_eq(settings->shutdownTime.count(), 6000);
 }
 
+Test(VmSettings, acceptsFractionsAndExponents)
+{
+    std::string file = replaceFirst(CompleteFile, "shutdown_ms = 6000", "shutdown_ms = 5.5e3");
+    file = replaceFirst(file, "slack = 58", "slack = 33.1578947368421");
+    file = replaceFirst(file, "window_ms = 10000", "window_ms = 10e3");
+    const auto settings = parseVmSettings("f", file);
+    cr_assert(settings.has_value());
+    cr_assert_eq(settings->shutdownTime.count(), 5500);
+    cr_assert_float_eq(settings->retrySlack, 33.1578947368421, 1e-9);
+    cr_assert_eq(settings->retryWindow.count(), 10'000);
+}
+
+Test(VmSettings, rejectsNumbersOutOfRange)
+{
+    for (const char* slack : { "slack = -1", "slack = nan", "slack = 1e9", "slack = 5x" })
+        cr_expect(!parseVmSettings("f", replaceFirst(CompleteFile, "slack = 58", slack)).has_value(), "%s", slack);
+    cr_assert(!parseVmSettings("f", replaceFirst(CompleteFile, "shutdown_ms = 6000", "shutdown_ms = 0.5")).has_value());
+}
+
 Test(VmSettings, reportsFileSectionAndKeyOfEachFault)
 {
     const auto settings = parseVmSettings(
--- a/src/settings/vmsettings.cpp
+++ b/src/settings/vmsettings.cpp
@@ -7,14 +7,15 @@
 #include <boost/algorithm/string/trim.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace flamingousher::settings {
 
 namespace {
 
-    constexpr std::uint64_t MaxShutdownMs = 600'000;
-    constexpr std::uint64_t MaxRetryWindowMs = 600'000;
-    constexpr std::uint64_t MaxRetrySlack = 1'000'000;
+    constexpr double MaxShutdownMs = 600'000;
+    constexpr double MaxRetryWindowMs = 600'000;
+    constexpr double MaxRetrySlack = 1'000'000;
 
     using tables::SectionReader;
 
@@ -42,10 +43,11 @@
         return zones;
     }
 
-    std::chrono::milliseconds readDuration(SectionReader& section, const std::string& key, std::uint64_t min,
-        std::uint64_t max, std::chrono::milliseconds fallback)
+    std::chrono::milliseconds readDuration(
+        SectionReader& section, const std::string& key, double min, double max, std::chrono::milliseconds fallback)
     {
-        return std::chrono::milliseconds(section.integer(key, min, max, static_cast<std::uint64_t>(fallback.count())));
+        return std::chrono::milliseconds(
+            std::llround(section.number(key, min, max, static_cast<double>(fallback.count()))));
     }
 
     VmSettings readSections(SettingsReader& reader)
@@ -79,7 +81,7 @@
         });
         reader.section("retries", [&](SectionReader& section) {
             settings.retryRatio = section.fraction("ratio", settings.retryRatio);
-            settings.retrySlack = static_cast<double>(section.integer("slack", 0, MaxRetrySlack, 0));
+            settings.retrySlack = section.number("slack", 0, MaxRetrySlack, settings.retrySlack);
             settings.retryWindow = readDuration(section, "window_ms", 100, MaxRetryWindowMs, settings.retryWindow);
         });
         return settings;
--- a/src/tables/sectionreader.cpp
+++ b/src/tables/sectionreader.cpp
@@ -1,7 +1,20 @@
 #include "tables/sectionreader.h"
 
+#include <array>
+
 namespace flamingousher::tables {
 
+namespace {
+
+    std::string toText(double number)
+    {
+        std::array<char, 32> text {};
+        const auto end = std::to_chars(text.data(), text.data() + text.size(), number).ptr;
+        return { text.data(), end };
+    }
+
+} // namespace
+
 SectionReader::SectionReader(const std::string& table, const IniSection& section, std::vector<Fault>& faults)
     : table_(table)
     , section_(section)
@@ -53,14 +66,19 @@
 }
 
 double SectionReader::fraction(const std::string& key, double fallback)
+{
+    return number(key, 0, 1, fallback);
+}
+
+double SectionReader::number(const std::string& key, double min, double max, double fallback)
 {
     const std::string* value = find(key);
-    if (!value)
+    if (!value || value->empty())
         return fallback;
     double number = 0;
     const auto [end, error] = std::from_chars(value->data(), value->data() + value->size(), number);
-    if (error != std::errc() || end != value->data() + value->size() || !(number >= 0 && number <= 1)) {
-        addFault(key, "'" + *value + "' is not a number between 0 and 1");
+    if (error != std::errc() || end != value->data() + value->size() || !(number >= min && number <= max)) {
+        addFault(key, "'" + *value + "' is not a number between " + toText(min) + " and " + toText(max));
         return fallback;
     }
     return number;
--- a/src/tables/sectionreader.h
+++ b/src/tables/sectionreader.h
@@ -22,6 +22,9 @@
     std::uint64_t integer(const std::string& key, std::uint64_t min, std::uint64_t max,
         const std::optional<std::uint64_t>& fallback = std::nullopt);
     double fraction(const std::string& key, double fallback);
+
+    // Accepts decimal and exponent notation, such as 33.3 or 5.5e3.
+    double number(const std::string& key, double min, double max, double fallback);
     bool flag(const std::string& key, bool fallback);
 
     // Records a fault for each key that has not been read.
