Delegate requests over many shards from small VMs to large ones

Cause: on the large deployment each of 295 VMs runs a third of a gather a second. Its connections to the searchers are cold (165,000 new connections for 223,000 sub-requests), it cannot know which searchers pause, its part of the retry budget is 2 attempts in 10 s, and 90 sub-requests take a VM of 0.12 cores most of the 50 ms of the urgent kind.

Change: a VM with at most half of the processor share of the region's largest VMs hands the whole request to one of them, near the searchers, over HTTP between VMs. Decisions in src/delegation (DelegationPlan, no I/O). The delegate confirms when it starts; without a confirmation this VM runs the request itself, with one attempt less for each shard and at most once per retry window. A delegate refuses while it stops, is overloaded or has another configuration in force, so that no VM goes back to an older one. Connections and the slack of the retry budget go to the VMs that run the requests. VMs of similar size delegate nothing. Processor share and endpoint travel with the membership; a pair of old and new VMs ignores the new fields.

Ways weighed: sharing observations between VMs keeps connections cold; two levels (a VM for a few shards) save more bytes between zones and cost a second place for hedging and deadlines. The whole request needs no new state across the hop.

--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/json.hpp>
 
+#include <cmath>
 #include <csignal>
 #include <random>
 
@@ -33,7 +34,8 @@
     fleet::NodeInfo makeNode(const settings::VmSettings& settings)
     {
         return { { http::toString(settings.gossip), 0 }, settings.zone, settings.region,
-            http::toString(settings.operators), 1 };
+            http::toString(settings.operators), 1, settings.fanouts ? http::toString(*settings.fanouts) : std::string(),
+            static_cast<std::uint32_t>(std::lround(settings.processor * 1'000)) };
     }
 
     entry::EntrySettings makeEntrySettings(const settings::VmSettings& settings)
@@ -43,6 +45,7 @@
         entry.region = settings.region;
         entry.regions = settings.regions;
         entry.callers = settings.callers;
+        entry.fanouts = settings.fanouts;
         entry.retryRatio = settings.retryRatio;
         entry.retrySlack = settings.retrySlack;
         entry.retryWindow = settings.retryWindow;
--- /dev/null
+++ b/src/delegation/delegationplan.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "fleet/types.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+namespace flamingousher::delegation {
+
+// Which VMs run the requests over many shards, as seen by one VM.
+//
+// Load pattern: hundreds of VMs, most of them with a small share of a processor. A VM that receives few requests meets
+// each upstream once in several seconds: its connections are cold, it cannot know which upstreams are slow, and its
+// part of the retry budget is below one attempt. Sending to and reading from 90 shards also takes it most of a short
+// latency goal. Such a VM delegates the whole request to one of a few larger VMs. VMs of similar size delegate nothing.
+struct DelegationPlan {
+    // VMs to which this VM delegates, preferred ones first. Empty if it runs all requests itself.
+    std::vector<fleet::NodeInfo> delegates;
+
+    // VMs that run requests over many shards as a rule, including this one if it does.
+    std::vector<fleet::NodeInfo> executors;
+
+    bool operator==(const DelegationPlan&) const = default;
+
+    bool isDelegating() const { return !delegates.empty(); }
+};
+
+// vms: all VMs that are up, including self. upstreamZones: availability zones with upstreams of sharded services;
+// delegates there are preferred, since only the merged response then crosses zones.
+DelegationPlan makeDelegationPlan(
+    const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self, const std::set<std::string>& upstreamZones);
+
+} // namespace flamingousher::delegation
--- /dev/null
+++ b/src/delegation/tests/delegationplantests.cpp
@@ -0,0 +1,122 @@
+#include "delegation/delegationplan.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace flamingousher;
+using namespace flamingousher::delegation;
+
+namespace {
+
+fleet::NodeInfo makeVm(const std::string& name, const std::string& zone, std::uint32_t processorMilli)
+{
+    fleet::NodeInfo vm { { "10.0.0.1:" + name, 1 }, zone, "r", "10.0.0.1:9180" };
+    vm.fanouts = "10.0.0.1:7740";
+    vm.processorMilli = processorMilli;
+    return vm;
+}
+
+// Five zones with three large and 56 small VMs each.
+std::vector<fleet::NodeInfo> largeFleet()
+{
+    std::vector<fleet::NodeInfo> vms;
+    for (int zone = 1; zone <= 5; ++zone) {
+        for (int index = 0; index < 59; ++index)
+            vms.push_back(
+                makeVm(std::to_string(zone * 100 + index), "z" + std::to_string(zone), index < 3 ? 500 : 120));
+    }
+    return vms;
+}
+
+bool isLarge(const fleet::NodeInfo& vm)
+{
+    return vm.processorMilli == 500;
+}
+
+} // namespace
+
+Test(DelegationPlan, similarVmsDelegateNothing)
+{
+    std::vector<fleet::NodeInfo> vms;
+    for (int index = 0; index < 9; ++index)
+        vms.push_back(makeVm(std::to_string(index), "z1", index % 2 ? 250 : 300));
+    const DelegationPlan plan = makeDelegationPlan(vms, vms.front(), { "z1" });
+    cr_assert(!plan.isDelegating());
+    cr_assert_eq(plan.executors.size(), vms.size());
+}
+
+Test(DelegationPlan, smallVmsDelegateToLargeOnesNearUpstreams)
+{
+    const auto vms = largeFleet();
+    const std::set<std::string> upstreamZones { "z1", "z2", "z3" };
+    for (const fleet::NodeInfo& vm : vms) {
+        const DelegationPlan plan = makeDelegationPlan(vms, vm, upstreamZones);
+        cr_assert_eq(plan.isDelegating(), !isLarge(vm));
+        cr_assert_eq(plan.executors.size(), 15);
+        cr_assert(std::ranges::all_of(plan.delegates, isLarge));
+        for (const fleet::NodeInfo& delegate : plan.delegates)
+            cr_assert(upstreamZones.contains(delegate.zone));
+        if (plan.isDelegating() && upstreamZones.contains(vm.zone))
+            cr_assert_eq(plan.delegates.front().zone, vm.zone);
+    }
+}
+
+Test(DelegationPlan, spreadsVmsOfOtherZonesOverDelegates)
+{
+    const auto vms = largeFleet();
+    std::map<std::string, int> users;
+    for (const fleet::NodeInfo& vm : vms) {
+        if (vm.zone != "z5" || isLarge(vm))
+            continue;
+        for (const fleet::NodeInfo& delegate : makeDelegationPlan(vms, vm, { "z1", "z2", "z3" }).delegates)
+            ++users[delegate.id.endpoint];
+    }
+    cr_assert_eq(users.size(), 9);
+    for (const auto& [delegate, count] : users)
+        cr_assert(count >= 10 && count <= 45, "%s has %d of 56 VMs", delegate.c_str(), count);
+}
+
+Test(DelegationPlan, usesOtherZonesWithoutEnoughLargeVmsNearUpstreams)
+{
+    auto vms = largeFleet();
+    std::erase_if(vms, [](const fleet::NodeInfo& vm) { return isLarge(vm) && vm.zone != "z5" && vm.zone != "z4"; });
+    const DelegationPlan plan = makeDelegationPlan(vms, vms.front(), { "z1", "z2", "z3" });
+    cr_assert(plan.isDelegating());
+    cr_assert_eq(plan.executors.size(), 6);
+}
+
+Test(DelegationPlan, runsRequestsItselfWhenLargeVmsAreLost)
+{
+    auto vms = largeFleet();
+    int kept = 0;
+    std::erase_if(vms, [&](const fleet::NodeInfo& vm) { return isLarge(vm) && ++kept > 2; });
+    const DelegationPlan plan = makeDelegationPlan(vms, vms.back(), { "z1" });
+    cr_assert(!plan.isDelegating());
+    cr_assert_eq(plan.executors.size(), vms.size());
+}
+
+Test(DelegationPlan, excludesOtherRegionsAndVmsThatAcceptNoRequests)
+{
+    auto vms = largeFleet();
+    for (fleet::NodeInfo& vm : vms) {
+        if (isLarge(vm) && vm.zone == "z1")
+            vm.region = "other";
+        else if (isLarge(vm))
+            vm.fanouts.clear();
+    }
+    const fleet::NodeInfo self = vms.back();
+    cr_assert(!makeDelegationPlan(vms, self, { "z1" }).isDelegating());
+}
+
+// VMs of an earlier version neither state their processor share nor accept requests.
+Test(DelegationPlan, countsVmsWithoutProcessorShareAsExecutors)
+{
+    auto vms = largeFleet();
+    vms.push_back(makeVm("old", "z1", 0));
+    vms.back().fanouts.clear();
+    const DelegationPlan plan = makeDelegationPlan(vms, vms.back(), { "z1" });
+    cr_assert(!plan.isDelegating());
+    cr_assert_eq(plan.executors.size(), 16);
+}
--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -15,6 +15,9 @@
     // Max delay until timed-out attempts are cancelled and missing connections are reopened.
     constexpr std::chrono::milliseconds SweepInterval { 50 };
 
+    constexpr std::size_t DelegationHeaderBytes = 1'024; // of the fields added to a delegated request
+    constexpr std::chrono::hours DelegationIdleTimeout { 1 };
+
     constexpr std::size_t MaxCallerConnections = 3'000; // leaves file descriptors for the upstreams on a small VM
 
     http::ServerLimits makeServerLimits(const routing::CallerLimits& callerLimits)
@@ -27,6 +30,15 @@
         return limits;
     }
 
+    // Connections of other VMs are kept open: the kernel's keepalive probes of the other side detect lost ones.
+    http::ServerLimits makeDelegationLimits(const routing::CallerLimits& callerLimits)
+    {
+        http::ServerLimits limits = makeServerLimits(callerLimits);
+        limits.headerBytes += DelegationHeaderBytes;
+        limits.idleTimeout = DelegationIdleTimeout;
+        return limits;
+    }
+
 } // namespace
 
 struct EntryThread::State {
@@ -34,19 +46,25 @@
         const upstreamclient::UpstreamProtocol& upstreams, std::function<void(const std::string&)> writeLog)
         : shared(io, settings, callers, upstreams, std::move(writeLog))
         , handler(shared)
-        , server(io, makeServerLimits({}), [this](const http::Request& request, http::Exchange& exchange) {
-            http::Response response = handler.handle(request, exchange);
-            // Makes the caller send its next request to another VM.
-            if (shared.isStopping)
-                response.keep_alive(false);
-            return response;
-        })
+        , server(io, makeServerLimits({}),
+              [this](const http::Request& request, http::Exchange& exchange) {
+                  http::Response response = handler.handle(request, exchange);
+                  // Makes the caller send its next request to another VM.
+                  if (shared.isStopping)
+                      response.keep_alive(false);
+                  return response;
+              })
+        , delegationServer(
+              io, makeDelegationLimits({}), [this](const http::Request& request, http::Exchange& exchange) {
+                  return handler.handleDelegated(request, exchange);
+              })
     {
     }
 
     EntryState shared;
     RequestHandler handler;
-    http::Server server;
+    http::Server server; // of callers
+    http::Server delegationServer; // of other VMs
 };
 
 EntryThread::EntryThread(const EntrySettings& settings, const CallerProtocol& callers,
@@ -71,14 +89,32 @@
     const auto error = thread_.call([&] { return state_->server.listen(settings_.callers); });
     if (error)
         return tl::unexpected("callers' port " + http::toString(settings_.callers) + ": " + error.message());
+    if (!settings_.fanouts)
+        return {};
+    if (const auto failure = thread_.call([&] { return state_->delegationServer.listen(*settings_.fanouts); }))
+        return tl::unexpected("fan-outs' port " + http::toString(*settings_.fanouts) + ": " + failure.message());
     return {};
 }
 
+http::Endpoint EntryThread::callersEndpoint()
+{
+    return thread_.call([this] { return state_->server.localEndpoint(); });
+}
+
+http::Endpoint EntryThread::fanoutsEndpoint()
+{
+    return thread_.call([this] { return state_->delegationServer.localEndpoint(); });
+}
+
 void EntryThread::runSweep()
 {
+    EntryState& shared = state_->shared;
     for (;;) {
+        const base::TimePoint due = shared.now() + SweepInterval;
         runtime::sleepFor(thread_.io(), SweepInterval);
-        state_->shared.directory.sweep();
+        shared.schedulingDelay = std::max(base::Duration::zero(), shared.now() - due);
+        shared.directory.sweep();
+        shared.delegates.sweep();
     }
 }
 
@@ -86,18 +122,25 @@
 {
     thread_.call([&] {
         state_->server.setLimits(makeServerLimits(routes->configuration().limits));
+        state_->delegationServer.setLimits(makeDelegationLimits(routes->configuration().limits));
         state_->shared.applyRoutes(routes);
     });
 }
 
 void EntryThread::applyUpstreams(std::vector<discovery::DiscoveredUpstream> upstreams)
 {
-    thread_.call([&] { state_->shared.directory.apply(upstreams); });
+    thread_.call([&] {
+        state_->shared.directory.apply(upstreams);
+        state_->shared.updateDelegates();
+    });
 }
 
 void EntryThread::applyFleet(std::vector<fleet::NodeInfo> vms, const fleet::NodeInfo& self)
 {
-    thread_.call([&] { state_->shared.directory.setFleet(vms, self); });
+    thread_.call([&] {
+        state_->shared.directory.setFleet(vms, self);
+        state_->shared.updateDelegates();
+    });
 }
 
 void EntryThread::beginShutdown()
@@ -107,12 +150,15 @@
 
 void EntryThread::closeListener()
 {
-    thread_.call([this] { state_->server.beginShutdown(); });
+    thread_.call([this] {
+        state_->server.beginShutdown();
+        state_->delegationServer.beginShutdown();
+    });
 }
 
 bool EntryThread::isIdle()
 {
-    return thread_.call([this] { return state_->server.isIdle(); });
+    return thread_.call([this] { return state_->server.isIdle() && state_->delegationServer.isIdle(); });
 }
 
 std::string EntryThread::describeState()
--- a/src/entry/entrythread.h
+++ b/src/entry/entrythread.h
@@ -29,6 +29,10 @@
     // Starts to accept callers' connections. Returns an error message if the port cannot be opened.
     tl::expected<void, std::string> listen();
 
+    // Return the addresses of the open ports.
+    http::Endpoint callersEndpoint();
+    http::Endpoint fanoutsEndpoint();
+
     // Applies to requests that arrive after the call.
     void applyRoutes(std::shared_ptr<const routing::RouteTable>);
     void applyUpstreams(std::vector<discovery::DiscoveredUpstream>);
--- /dev/null
+++ b/src/entry/internal/delegatedrequest.cpp
@@ -0,0 +1,140 @@
+#include "entry/internal/delegatedrequest.h"
+
+#include <algorithm>
+
+namespace flamingousher::entry {
+
+using base::RunState;
+using upstreamclient::ReplyKind;
+
+namespace {
+
+    // Delegates tried until this VM runs the request itself.
+    constexpr std::size_t MaxDelegatesTried = 2;
+
+    // A delegate confirms within the round trip and its scheduling delay. The rest of the goal must suffice for running
+    // the request here.
+    constexpr double AcknowledgementFraction = 0.25; // of the time until the goal
+    constexpr base::Duration MinAcknowledgementTime = std::chrono::milliseconds(8);
+
+} // namespace
+
+DelegatedRequest::DelegatedRequest(
+    EntryState& state, std::shared_ptr<const upstreamclient::OutboundRequest> request, const Times& times)
+    : state_(state)
+    , request_(std::move(request))
+    , times_(times)
+    , timer_(state.io)
+{
+}
+
+DelegationResult DelegatedRequest::run()
+{
+    std::vector<Delegates::DelegateId> tried;
+    DelegationResult result;
+    while (result.outcome == DelegationOutcome::NotRun && !isAbandoned_ && tried.size() < MaxDelegatesTried) {
+        const auto delegate = state_.delegates.choose(tried, times_.typical);
+        if (!delegate)
+            break;
+        tried.push_back(*delegate);
+        result = runAt(*delegate);
+    }
+    if (isAbandoned_)
+        result.outcome = DelegationOutcome::Abandoned;
+    return result;
+}
+
+DelegationResult DelegatedRequest::runAt(Delegates::DelegateId delegate)
+{
+    result_ = {};
+    delegate_ = delegate;
+    isAcknowledged_ = false;
+    attempt_ = state_.nextId();
+    const base::TimePoint now = state_.now();
+    const auto acknowledgementTime = std::max(MinAcknowledgementTime,
+        std::chrono::duration_cast<base::Duration>(AcknowledgementFraction * (times_.goal - now)));
+    armTimer(std::min(now + acknowledgementTime, times_.deadline));
+    const auto self = shared_from_this();
+    upstreamclient::Attempt attempt { attempt_, request_, times_.deadline, true,
+        [weak = weak_from_this(), id = attempt_] {
+            const auto request = weak.lock();
+            if (!request || request->attempt_ != id || request->isAcknowledged_)
+                return;
+            request->isAcknowledged_ = true;
+            request->armTimer(request->times_.deadline);
+        } };
+    state_.delegates.send(delegate, attempt, times_.typical,
+        [self, id = attempt_](upstreamclient::AttemptResult result) { self->onResult(id, std::move(result)); });
+    if (attempt_ != 0) {
+        isWaiting_ = true;
+        finished_.wait();
+        isWaiting_ = false;
+    }
+    timer_.cancel();
+    result_.delegate = state_.delegates.endpoint(delegate);
+    return std::move(result_);
+}
+
+void DelegatedRequest::onResult(AttemptId id, upstreamclient::AttemptResult result)
+{
+    if (attempt_ != id)
+        return;
+    if (!result) {
+        state_.delegates.onFailed(delegate_, id);
+        finish(result.error().runState == RunState::NotRun ? DelegationOutcome::NotRun : DelegationOutcome::Lost,
+            toString(result.error()));
+        return;
+    }
+    if (result->kind == ReplyKind::Success) {
+        state_.delegates.onAnswered(delegate_, id);
+        result_.response = std::move(result->response);
+        finish(DelegationOutcome::Answered, {});
+        return;
+    }
+    state_.delegates.onFailed(delegate_, id);
+    const std::string detail = "refused with status " + std::to_string(result->response.result_int());
+    finish(result->kind == ReplyKind::NotRun ? DelegationOutcome::NotRun : DelegationOutcome::Lost, detail);
+}
+
+void DelegatedRequest::armTimer(base::TimePoint at)
+{
+    timer_.expires_at(at);
+    timer_.async_wait([self = shared_from_this(), id = attempt_](const boost::system::error_code& error) {
+        if (!error && self->attempt_ == id)
+            self->onTimer();
+    });
+}
+
+void DelegatedRequest::onTimer()
+{
+    // The wait may already have ended when the confirmation extended it.
+    if (state_.now() < timer_.expiry())
+        return;
+    const bool mayHaveRun = state_.delegates.drop(delegate_, attempt_, true);
+    if (!mayHaveRun)
+        finish(DelegationOutcome::NotRun, "the connection did not open in time");
+    else if (!isAcknowledged_)
+        finish(DelegationOutcome::Unacknowledged, "not confirmed in time");
+    else
+        finish(DelegationOutcome::Lost, "no answer in time");
+}
+
+void DelegatedRequest::abandon()
+{
+    isAbandoned_ = true;
+    if (attempt_ == 0)
+        return;
+    state_.delegates.drop(delegate_, attempt_, false);
+    finish(DelegationOutcome::Abandoned, "the caller disconnected");
+}
+
+void DelegatedRequest::finish(DelegationOutcome outcome, const std::string& detail)
+{
+    attempt_ = 0;
+    result_.outcome = outcome;
+    result_.detail = detail;
+    if (isWaiting_)
+        finished_.notify();
+}
+
+} // namespace flamingousher::entry
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -33,6 +33,16 @@
     // of the service are much slower.
     constexpr base::Duration StandbyPenalty = std::chrono::milliseconds(30);
 
+    // Fraction of a sharded service's connections that is allotted to the VMs that run requests over many shards. The
+    // rest is for VMs that delegate these requests and have to run some of them themselves.
+    constexpr double ExecutorFraction = 0.7;
+
+    // Connections to each upstream of a sharded service from a VM that delegates.
+    constexpr std::size_t DelegatingVmConnections = 1;
+
+    // Restarts of delegated requests per retry window and VM. Each one costs an extra attempt at every shard.
+    constexpr double RestartsPerVm = 1;
+
     constexpr std::uint32_t DefaultMaxConnections = 24; // for services missing from the configuration
 
     // Connections per upstream that are not allocated, for VMs that join or are being replaced.
@@ -74,7 +84,7 @@
     if (!state) {
         state = std::make_shared<ServiceState>();
         state->name = name;
-        state->budget.setSettings(budgetSettings());
+        state->budget.setSettings(budgetSettings(name));
     }
     return state;
 }
@@ -170,12 +180,18 @@
 {
     const auto found = maxConnections_.find(entry.service);
     const std::uint32_t maxConnections = found == maxConnections_.end() ? DefaultMaxConnections : found->second;
-    const std::uint32_t allocatable
+    std::uint32_t allocatable
         = maxConnections > ReservedConnections ? maxConnections - ReservedConnections : maxConnections;
     // No connections are opened in advance until it is known how many VMs share the upstream.
     if (vms_.empty())
         return { std::clamp<std::size_t>(allocatable / settings_.assumedVmCount, 1, MaxConnections), 0 };
-    const fleet::ConnectionAllotment allocation(vms_, self_, entry.id, entry.zone);
+    const bool isLimitedToExecutors = isDelegationUsed() && isSharded(entry.service);
+    if (isLimitedToExecutors && plan_.isDelegating())
+        return { DelegatingVmConnections, 0 };
+    if (isLimitedToExecutors)
+        allocatable = static_cast<std::uint32_t>(allocatable * ExecutorFraction);
+    const fleet::ConnectionAllotment allocation(
+        isLimitedToExecutors ? plan_.executors : vms_, self_, entry.id, entry.zone);
     const std::size_t maxWarm = entry.zone == settings_.zone ? WarmSameZoneConnections : WarmCrossZoneConnections;
     return { std::min(allocation.shareOf(allocatable), MaxConnections),
         std::min(allocation.shareOf(static_cast<std::size_t>(allocatable * WarmFraction)), maxWarm) };
@@ -189,21 +205,55 @@
     return { entry.id, endpoint.value_or(http::Endpoint {}), std::max<std::size_t>(1, limits.max), limits.warm };
 }
 
-balancing::RetryBudgetSettings Directory::budgetSettings() const
+// The slack of a sharded service is divided into one restart for each VM that delegates, and equal parts of the rest
+// for the executors.
+balancing::RetryBudgetSettings Directory::budgetSettings(const std::string& service) const
+{
+    if (!isDelegationUsed() || !isSharded(service))
+        return { settings_.retryRatio, settings_.retrySlack / static_cast<double>(maxVmsSeen_), settings_.retryWindow };
+    if (plan_.isDelegating())
+        return { settings_.retryRatio, 0, settings_.retryWindow };
+    const double restarts = restartSettings().slack * static_cast<double>(vms_.size() - plan_.executors.size());
+    return { settings_.retryRatio, (settings_.retrySlack - restarts) / static_cast<double>(plan_.executors.size()),
+        settings_.retryWindow };
+}
+
+// There are no restarts if they would leave the executors less than half of the slack.
+balancing::RetryBudgetSettings Directory::restartSettings() const
 {
-    return { settings_.retryRatio, settings_.retrySlack / static_cast<double>(maxVmsSeen_), settings_.retryWindow };
+    const auto delegatingVms = static_cast<double>(vms_.size() - plan_.executors.size());
+    const bool areAffordable = delegatingVms * RestartsPerVm <= settings_.retrySlack / 2;
+    return { 0, areAffordable ? RestartsPerVm : 0, settings_.retryWindow };
+}
+
+void Directory::updatePlan()
+{
+    std::set<std::string> zones;
+    for (const std::string& name : shardedServices_) {
+        if (const auto found = services_.find(name); found != services_.end()) {
+            for (UpstreamId id : found->second->upstreams)
+                zones.insert(entry(id).zone);
+        }
+    }
+    plan_ = vms_.empty() ? delegation::DelegationPlan {} : delegation::makeDelegationPlan(vms_, self_, zones);
+    restarts_.setSettings(restartSettings());
 }
 
 void Directory::applyConfiguration(const routing::RouteTable& routes)
 {
     std::map<std::string, std::uint32_t> maxConnections;
+    std::set<std::string> shardedServices;
+    for (const routing::Route& route : routes.configuration().routes)
+        shardedServices.insert(route.shards.begin(), route.shards.end());
     for (const routing::Service& service : routes.configuration().services)
         maxConnections[service.name] = service.maxConnections;
     // Most configuration changes concern routes only, and allocating connections takes time proportional to the number
     // of VMs for each upstream.
-    if (maxConnections == maxConnections_)
+    if (maxConnections == maxConnections_ && shardedServices == shardedServices_)
         return;
     maxConnections_ = std::move(maxConnections);
+    shardedServices_ = std::move(shardedServices);
+    updatePlan();
     refreshLimits();
 }
 
@@ -212,13 +262,14 @@
     vms_ = vms;
     self_ = self;
     maxVmsSeen_ = std::max(maxVmsSeen_, vms.size());
+    updatePlan();
     refreshLimits();
 }
 
 void Directory::refreshLimits()
 {
     for (const auto& [name, state] : services_) {
-        state->budget.setSettings(budgetSettings());
+        state->budget.setSettings(budgetSettings(name));
         for (UpstreamId id : state->upstreams) {
             const ConnectionLimits limits = computeLimits(entry(id));
             upstreams_[id].pool->setSettings(poolSettings(entry(id), limits));
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -4,6 +4,7 @@
 #include "balancing/replicaselector.h"
 #include "balancing/retrybudget.h"
 #include "balancing/waitqueue.h"
+#include "delegation/delegationplan.h"
 #include "discovery/types.h"
 #include "entry/types.h"
 #include "eventlog/eventlog.h"
@@ -15,6 +16,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -49,6 +51,12 @@
     // Sets the VMs, including this one, that share the connection limits of the upstreams and the retry budgets.
     void setFleet(const std::vector<fleet::NodeInfo>&, const fleet::NodeInfo& self);
 
+    // Returns which VMs run the requests over many shards.
+    const delegation::DelegationPlan& delegationPlan() const { return plan_; }
+
+    // Consumes one restart of a request that a delegate may have started. Returns false if there is none left.
+    bool tryAcquireRestart() { return restarts_.tryAcquire(balancing::ExtraAttempt::Retry, now_()); }
+
     // Never returns null: creates the service if it does not exist.
     std::shared_ptr<ServiceState> service(const std::string& name);
 
@@ -94,7 +102,11 @@
     base::Duration latencyPenalty(const discovery::UpstreamEntry&, const ConnectionLimits&) const;
     upstreamclient::PoolSettings poolSettings(const discovery::UpstreamEntry&, const ConnectionLimits&) const;
     ConnectionLimits computeLimits(const discovery::UpstreamEntry&) const;
-    balancing::RetryBudgetSettings budgetSettings() const;
+    balancing::RetryBudgetSettings budgetSettings(const std::string& service) const;
+    balancing::RetryBudgetSettings restartSettings() const;
+    bool isSharded(const std::string& service) const { return shardedServices_.contains(service); }
+    bool isDelegationUsed() const { return plan_.executors.size() < vms_.size(); }
+    void updatePlan();
     upstreamclient::ConnectionPool::Hooks poolHooks(UpstreamId, const std::string& service);
     void refreshLimits();
 
@@ -105,6 +117,9 @@
     std::function<base::TimePoint()> now_;
     std::vector<fleet::NodeInfo> vms_; // empty until the fleet is known
     fleet::NodeInfo self_;
+    delegation::DelegationPlan plan_;
+    std::set<std::string> shardedServices_; // services that are shards of a route
+    balancing::RetryBudget restarts_;
     std::size_t maxVmsSeen_; // max fleet size so far: extra attempts of VMs that have left still count
     std::vector<PooledUpstream> upstreams_; // by UpstreamId; identifiers are not reused
     std::vector<UpstreamId> openPoolIds_; // pools to sweep: all but retired ones without connections
--- a/src/entry/internal/entrystate.cpp
+++ b/src/entry/internal/entrystate.cpp
@@ -21,17 +21,21 @@
     , log({}, { now, std::move(writeLog) })
     , records(MaxRecords)
     , directory(ioContext, settings, upstreams, log, now)
+    , delegates(ioContext, settings, log, now)
 {
 }
 
 void EntryState::applyRoutes(const std::shared_ptr<const routing::RouteTable>& table)
 {
     routes = table;
-    std::erase_if(latencyByRoute, [&](const auto& entry) {
+    const auto isRemoved = [&](const auto& entry) {
         return std::ranges::none_of(
             table->configuration().routes, [&](const routing::Route& route) { return route.name == entry.first; });
-    });
+    };
+    std::erase_if(latencyByRoute, isRemoved);
+    std::erase_if(delegatedLatencyByRoute, isRemoved);
     directory.applyConfiguration(*table);
+    updateDelegates();
 }
 
 fanout::SubRequestLatency& EntryState::subRequestLatency(const routing::Route& route)
@@ -39,4 +43,14 @@
     return latencyByRoute.try_emplace(route.name, route.goal).first->second;
 }
 
+fanout::SubRequestLatency& EntryState::delegatedLatency(const routing::Route& route)
+{
+    return delegatedLatencyByRoute.try_emplace(route.name, route.goal).first->second;
+}
+
+void EntryState::updateDelegates()
+{
+    delegates.set(directory.delegationPlan().delegates);
+}
+
 } // namespace flamingousher::entry
--- a/src/entry/internal/entrystate.h
+++ b/src/entry/internal/entrystate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "accounts/recordstore.h"
+#include "entry/internal/delegates.h"
 #include "entry/internal/directory.h"
 #include "entry/internal/writetimes.h"
 #include "entry/types.h"
@@ -27,6 +28,12 @@
     // Returns the observed latencies of the route's sub-requests.
     fanout::SubRequestLatency& subRequestLatency(const routing::Route&);
 
+    // Returns the observed latencies of the route's delegated requests.
+    fanout::SubRequestLatency& delegatedLatency(const routing::Route&);
+
+    // Updates the delegates after a change of the fleet, the configuration or the upstreams.
+    void updateDelegates();
+
     // Returns an identifier that is unique within this process.
     std::uint64_t nextId() { return ++lastId; }
 
@@ -39,10 +46,13 @@
     metrics::Registry metrics;
     accounts::RecordStore records;
     Directory directory;
+    Delegates delegates;
     std::shared_ptr<const routing::RouteTable> routes; // null until a configuration is loaded
     routing::ServiceSplit split;
     std::map<std::string, fanout::SubRequestLatency> latencyByRoute;
+    std::map<std::string, fanout::SubRequestLatency> delegatedLatencyByRoute;
     WriteTimes writeTimes;
+    base::Duration schedulingDelay { 0 }; // recent delay until a due task of this thread runs
     std::uint64_t lastId { 0 };
     bool isStopping { false };
 };
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -1,5 +1,6 @@
 #include "entry/internal/requesthandler.h"
 
+#include "delegation/delegationprotocol.h"
 #include "entry/internal/answertimes.h"
 
 #include <boost/json/array.hpp>
@@ -19,6 +20,9 @@
     // Sent while no configuration is loaded: about the time to read it from the store.
     constexpr base::Duration RetryAfterNotReady = std::chrono::milliseconds(300);
 
+    // A delegate whose tasks run later than this has no time left for the requests of others.
+    constexpr base::Duration MaxSchedulingDelay = std::chrono::milliseconds(15);
+
     // One of this many complete responses is logged.
     constexpr std::uint64_t SuccessSampleInterval = 200;
 
@@ -34,6 +38,23 @@
         return "expected to take " + std::to_string(base::toMilliseconds(decision.expectedLatency)) + " ms";
     }
 
+    std::string_view toString(DelegationOutcome outcome)
+    {
+        switch (outcome) {
+        case DelegationOutcome::Answered:
+            return "answered";
+        case DelegationOutcome::NotRun:
+            return "not_run";
+        case DelegationOutcome::Unacknowledged:
+            return "unacknowledged";
+        case DelegationOutcome::Lost:
+            return "lost";
+        case DelegationOutcome::Abandoned:
+            return "abandoned";
+        }
+        return "invalid";
+    }
+
     std::string outcomeOf(const FinishFanout& result, bool isLate)
     {
         switch (result.finishReason) {
@@ -77,7 +98,98 @@
         timeout = std::min<base::Duration>(timeout, *decoded->timeout);
     const AnswerTimes deadlines = computeAnswerTimes(
         now, { route->goal, timeout, state_.writeTimes.reserve() }, exchange.roundTrip, exchange.isFirst);
-    return run({ request, *decoded, *route, now, deadlines.goal, deadlines.deadline }, routes, exchange);
+    const RoutedRequest routed { request, *decoded, *route, now, deadlines.goal, deadlines.deadline,
+        route->maxAttempts };
+    const bool isDelegated = route->isFanout() && route->isIdempotent && !state_.delegates.isEmpty();
+    return isDelegated ? runDelegated(routed, routes, exchange) : run(routed, routes, exchange);
+}
+
+http::Response RequestHandler::runDelegated(
+    const RoutedRequest& routed, std::shared_ptr<const routing::RouteTable> routes, http::Exchange& exchange)
+{
+    const auto delegated = std::make_shared<DelegatedRequest>(state_,
+        delegation::makeDelegatedRequest(
+            *routed.decoded.outbound, routes->configuration().version, routed.deadline - routed.goal),
+        DelegatedRequest::Times { routed.goal, routed.deadline, state_.delegatedLatency(routed.route).typical() });
+    exchange.onPeerGone = [weak = std::weak_ptr(delegated)] {
+        if (const auto request = weak.lock())
+            request->abandon();
+    };
+    DelegationResult result = delegated->run();
+    exchange.onPeerGone = nullptr;
+    recordDelegation(routed, result);
+    if (result.outcome == DelegationOutcome::NotRun)
+        return run(routed, std::move(routes), exchange);
+    // The delegate may have sent one attempt to each shard before it noticed that this VM had dropped the request.
+    if (result.outcome == DelegationOutcome::Unacknowledged && routed.maxAttempts > 1
+        && state_.directory.tryAcquireRestart()) {
+        RoutedRequest restarted = routed;
+        --restarted.maxAttempts;
+        return run(restarted, std::move(routes), exchange);
+    }
+    return makeDelegatedResponse(routed, std::move(result), exchange);
+}
+
+http::Response RequestHandler::makeDelegatedResponse(
+    const RoutedRequest& routed, DelegationResult result, http::Exchange& exchange)
+{
+    if (!result.isAnswered()) {
+        const ErrorCode code = state_.now() < routed.deadline ? ErrorCode::ConnectionLost : ErrorCode::DeadlineExceeded;
+        return state_.callers.encodeError(routed.request, routed.decoded.requestId,
+            { code, base::Step::Peer, result.delegate, result.detail, RunState::Unknown }, base::Duration::zero());
+    }
+    const base::TimePoint answeredAt = state_.now();
+    state_.delegatedLatency(routed.route).observe(answeredAt - routed.receivedAt);
+    exchange.onWritten = [this, answeredAt] { state_.writeTimes.observe(state_.now() - answeredAt); };
+    upstreamclient::UpstreamReply reply;
+    reply.response = *std::move(result.response);
+    delegation::removeMarks(reply.response);
+    return state_.callers.encodeSingle(routed.request, std::move(reply));
+}
+
+const char* RequestHandler::refusalOfDelegated(
+    const routing::Route* route, std::uint64_t version, const http::Exchange& exchange) const
+{
+    if (state_.isStopping)
+        return "stopping";
+    // An answer of another version could take the caller's VM back to an older configuration.
+    if (!state_.routes || state_.routes->configuration().version != version)
+        return "another configuration is in force";
+    if (!route || !route->isFanout() || !route->isIdempotent)
+        return "not a request over many shards";
+    if (state_.schedulingDelay > MaxSchedulingDelay)
+        return "overloaded";
+    // A VM that was paused reads requests that were dropped long ago.
+    return exchange.isPeerGone() ? "dropped" : nullptr;
+}
+
+http::Response RequestHandler::handleDelegated(const http::Request& request, http::Exchange& exchange)
+{
+    const base::TimePoint now = state_.now();
+    http::Request callerRequest = request;
+    const auto limits = delegation::takeLimits(callerRequest);
+    const auto decoded = state_.callers.decode(callerRequest);
+    if (!limits || !decoded)
+        return delegation::refuseDelegated(request, toString(!limits ? limits.error() : decoded.error()));
+    const std::shared_ptr<const routing::RouteTable> routes = state_.routes;
+    const routing::Route* route = routes ? routes->find(decoded->host, decoded->path) : nullptr;
+    if (const char* reason = refusalOfDelegated(route, limits->version, exchange)) {
+        state_.metrics
+            .counter("flamingousher_delegated_requests_refused_total", "Delegated requests that this VM refused.",
+                { { "reason", reason } })
+            .add();
+        http::Response refusal = delegation::refuseDelegated(request, reason);
+        delegation::markResponse(refusal, decoded->requestId);
+        return refusal;
+    }
+    exchange.sendInterim();
+    const base::Duration untilGoal = std::max(base::Duration::zero(), limits->remaining - limits->goalLead);
+    const AnswerTimes times = computeAnswerTimes(
+        now, { untilGoal, limits->remaining, state_.writeTimes.reserve() }, exchange.roundTrip, false);
+    http::Response response = run(
+        { callerRequest, *decoded, *route, now, times.goal, times.deadline, route->maxAttempts }, routes, exchange);
+    delegation::markResponse(response, decoded->requestId);
+    return response;
 }
 
 std::vector<std::shared_ptr<ServiceState>> RequestHandler::servicesOf(const routing::Route& route)
@@ -116,7 +228,7 @@
             decision.retryAfter);
     }
     const fanout::FanoutSpec spec { static_cast<std::uint32_t>(services.size()), routed.goal, routed.deadline,
-        routed.route.minCoverage, routed.route.maxAttempts, routed.route.isIdempotent };
+        routed.route.minCoverage, routed.maxAttempts, routed.route.isIdempotent };
     const auto active = std::make_shared<ActiveRequest>(
         state_, std::move(routes), routed.route, routed.decoded, std::move(services), spec);
     exchange.onPeerGone = [weak = std::weak_ptr(active)] {
@@ -232,6 +344,25 @@
             { "steps", std::move(steps) } });
 }
 
+void RequestHandler::recordDelegation(const RoutedRequest& routed, const DelegationResult& result)
+{
+    const base::Duration elapsed = state_.now() - routed.receivedAt;
+    const std::string outcome(toString(result.outcome));
+    state_.metrics
+        .counter("flamingousher_delegations_total", "Requests delegated to other VMs by outcome.",
+            { { "outcome", outcome } })
+        .add();
+    const bool isComplete = result.isAnswered() && result.response->result() == http::Status::ok;
+    const bool isSampled = ++delegatedCount_ % SuccessSampleInterval == 0;
+    if ((isComplete && !isSampled) || !state_.log.hasTokens())
+        return;
+    state_.log.writeDecision("delegated",
+        { { "request", routed.decoded.requestId }, { "route", routed.route.name }, { "outcome", outcome },
+            { "delegate", result.delegate }, { "reason", result.detail },
+            { "status", result.isAnswered() ? result.response->result_int() : 0 },
+            { "elapsed_ms", eventlog::milliseconds(elapsed) }, { "goal_ms", routed.route.goal.count() } });
+}
+
 void RequestHandler::storeRecord(const RoutedRequest& routed, const std::string& outcome, const ActiveRequest* active)
 {
     accounts::RequestRecord record { routed.decoded.requestId, routed.route.name, {}, rankOf(routed.route),
--- a/src/entry/internal/requesthandler.h
+++ b/src/entry/internal/requesthandler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/internal/activerequest.h"
+#include "entry/internal/delegatedrequest.h"
 #include "entry/internal/entrystate.h"
 
 #include <string>
@@ -15,6 +16,9 @@
 
     http::Response handle(const http::Request&, http::Exchange&);
 
+    // Handles a request over many shards that another VM delegates to this one.
+    http::Response handleDelegated(const http::Request&, http::Exchange&);
+
 private:
     // A request with its route and deadlines.
     struct RoutedRequest {
@@ -24,9 +28,18 @@
         base::TimePoint receivedAt;
         base::TimePoint goal;
         base::TimePoint deadline;
+        std::uint32_t maxAttempts; // per shard
     };
 
     http::Response run(const RoutedRequest&, std::shared_ptr<const routing::RouteTable>, http::Exchange&);
+    // Delegates the request if possible, and runs it here otherwise.
+    http::Response runDelegated(const RoutedRequest&, std::shared_ptr<const routing::RouteTable>, http::Exchange&);
+    http::Response makeDelegatedResponse(const RoutedRequest&, DelegationResult, http::Exchange&);
+    void recordDelegation(const RoutedRequest&, const DelegationResult&);
+
+    // Returns why this VM does not accept a delegated request, or null if it does.
+    const char* refusalOfDelegated(const routing::Route*, std::uint64_t version, const http::Exchange&) const;
+
     std::vector<std::shared_ptr<ServiceState>> servicesOf(const routing::Route&);
     balancing::AdmissionDecision admit(const RoutedRequest&, const std::vector<std::shared_ptr<ServiceState>>&);
     http::Response makeResponse(const RoutedRequest&, ActiveRequest&, const fanout::FinishFanout&);
@@ -39,6 +52,7 @@
 
     EntryState& state_;
     std::uint64_t completeCount_ { 0 };
+    std::uint64_t delegatedCount_ { 0 };
 };
 
 } // namespace flamingousher::entry
--- a/src/fleet/types.h
+++ b/src/fleet/types.h
@@ -34,6 +34,8 @@
     std::string region;
     std::string operators; // endpoint of the operators' port
     std::uint32_t trafficThreads { 1 };
+    std::string fanouts; // endpoint that accepts requests delegated by other VMs; empty when there is none
+    std::uint32_t processorMilli { 0 }; // processor share in thousandths of a core; 0 when unknown
 
     auto operator<=>(const NodeInfo&) const = default;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -38,6 +38,13 @@
         return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
     }
 
+    // Does not wait: the send buffer is empty before the response, and a lost interim response does no harm.
+    void sendInterimResponse(tcp::socket& socket)
+    {
+        constexpr std::string_view Bytes = "HTTP/1.1 102 Processing\r\n\r\n";
+        ::send(socket.native_handle(), Bytes.data(), Bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+
     // Calls onPeerGone when the peer closes the connection while a handler runs.
     class DisconnectMonitor {
     public:
@@ -152,7 +159,8 @@
     ++state.counters.requests;
     ++state.requestsInProgress;
     const Request request = parser.release();
-    Exchange exchange { describe(stream.socket()), isFirst, runtime::roundTripTime(stream.socket()), {}, {} };
+    Exchange exchange { describe(stream.socket()), isFirst, runtime::roundTripTime(stream.socket()),
+        [&] { sendInterimResponse(stream.socket()); }, [&] { return hasPeerClosed(stream.socket()); }, {}, {} };
     stream.expires_never();
     Response response;
     {
--- a/src/http/types.h
+++ b/src/http/types.h
@@ -30,6 +30,10 @@
     std::string peer; // "address:port"
     bool isFirst { true }; // first request on its connection
     std::optional<std::chrono::microseconds> roundTrip; // empty when the kernel has no estimate
+    // Set by the server; sends an interim response (102), which tells the peer that the request is being processed.
+    std::function<void()> sendInterim;
+    // Set by the server; returns whether the peer has already closed the connection.
+    std::function<bool()> isPeerGone;
     // Set by the handler; called after the response has been written to the socket.
     std::function<void()> onWritten;
     // Set by the handler; called at most once when the peer closes the connection before the response.
--- a/src/settings/internal/settingsreader.cpp
+++ b/src/settings/internal/settingsreader.cpp
@@ -42,6 +42,13 @@
     return faults_;
 }
 
+std::optional<http::Endpoint> readOptionalEndpoint(SectionReader& reader, const std::string& key)
+{
+    if (reader.text(key, std::string()).empty())
+        return std::nullopt;
+    return readEndpoint(reader, key);
+}
+
 http::Endpoint readEndpoint(SectionReader& reader, const std::string& key)
 {
     const std::string text = reader.text(key);
--- a/src/settings/internal/settingsreader.h
+++ b/src/settings/internal/settingsreader.h
@@ -41,6 +41,7 @@
 
 // Reads an "IP:port" value. Adds a fault if it is malformed.
 http::Endpoint readEndpoint(tables::SectionReader&, const std::string& key);
+std::optional<http::Endpoint> readOptionalEndpoint(tables::SectionReader&, const std::string& key);
 
 std::string readChoice(tables::SectionReader&, const std::string& key, const std::vector<std::string>& choices,
     const std::string& fallback);
--- a/src/settings/vmsettings.cpp
+++ b/src/settings/vmsettings.cpp
@@ -13,6 +13,7 @@
 
 namespace {
 
+    constexpr double MaxProcessor = 1'024; // cores
     constexpr double MaxShutdownMs = 600'000;
     constexpr double MaxRetryWindowMs = 600'000;
     constexpr double MaxRetrySlack = 1'000'000;
@@ -58,6 +59,7 @@
             settings.address = section.text("address");
             settings.zone = section.text("zone");
             settings.region = section.text("region", "default");
+            settings.processor = section.number("processor", 0, MaxProcessor, settings.processor);
             settings.shutdownTime = readDuration(section, "shutdown_ms", 1'000, MaxShutdownMs, settings.shutdownTime);
             settings.regions = readZones(section);
         });
@@ -65,6 +67,7 @@
             settings.callers = readEndpoint(section, "callers");
             settings.readiness = readEndpoint(section, "readiness");
             settings.operators = readEndpoint(section, "operators");
+            settings.fanouts = readOptionalEndpoint(section, "fanouts");
         });
         reader.section("platform", [&](SectionReader& section) {
             readChoice(section, "kind", { "store" }, "store");
--- a/src/settings/vmsettings.h
+++ b/src/settings/vmsettings.h
@@ -6,6 +6,7 @@
 #include <tl/expected.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,11 +24,13 @@
     std::string address; // [node] address: IP address
     std::string zone; // [node] zone: availability zone
     std::string region; // [node] region
+    double processor { 0 }; // [node] processor: share of the VM's processor in cores; 0 when unknown
     std::chrono::milliseconds shutdownTime { 6'000 }; // [node] shutdown_ms: time from SIGTERM to SIGKILL
     std::map<std::string, std::string> regions; // [node] zones: "ZONE=REGION, ..."
     http::Endpoint callers; // [listen] callers
     http::Endpoint readiness; // [listen] readiness: polled by the load balancer
     http::Endpoint operators; // [listen] operators
+    std::optional<http::Endpoint> fanouts; // [listen] fanouts: accepts requests delegated by other VMs
     http::Endpoint store; // [platform] store
     http::Endpoint gossip; // [peers] gossip: receives datagrams of the other VMs
     std::string peerKey; // [peers] key: shared secret of the fleet, at least 16 characters
--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -32,9 +32,6 @@
     // An idle connection is not used this close to the end of the upstream's announced idle timeout.
     constexpr base::Duration IdleMargin = std::chrono::milliseconds(700);
 
-    // Upstreams that pause for 0.1 to 0.15 s still answer within this time, so their connection is kept.
-    constexpr base::Duration DroppedAttemptTimeout = std::chrono::milliseconds(200);
-
     // An attempt is aborted this long after its deadline: no answer is expected any more.
     constexpr base::Duration DeadlineGracePeriod = std::chrono::milliseconds(100);
 
@@ -193,8 +190,11 @@
 // Handles one complete response. Returns false when the connection must not be reused.
 bool Connection::onResponse(http::Response&& response)
 {
-    if (response.result_int() < FirstFinalStatus)
+    if (response.result_int() < FirstFinalStatus) {
+        if (callback_ && attempt_->onInterim)
+            attempt_->onInterim();
         return true;
+    }
     bool isReusable = response.keep_alive() && !isWriting_;
     UpstreamReply reply = pool_->protocol_.decode(std::move(response));
     if (!reply.requestId.empty() && reply.requestId != attempt_->request->requestId) {
@@ -250,6 +250,8 @@
         // Nothing has been sent: the connection can be used by the next attempt.
         attempt_.reset();
         pool_->hooks_.onDroppedFinished(id, DroppedOutcome::NeverSent);
+    } else if (attempt_->isAbortable && pool_->settings_.droppedAttemptTimeout <= base::Duration::zero()) {
+        close("dropped");
     }
     return true;
 }
@@ -276,7 +278,7 @@
         return false;
     if (now > attempt_->deadline + DeadlineGracePeriod)
         return true;
-    return !callback_ && attempt_->isAbortable && now > droppedAt_ + DroppedAttemptTimeout;
+    return !callback_ && attempt_->isAbortable && now > droppedAt_ + pool_->settings_.droppedAttemptTimeout;
 }
 
 } // namespace flamingousher::upstreamclient
--- a/src/upstreamclient/types.h
+++ b/src/upstreamclient/types.h
@@ -51,6 +51,7 @@
     std::shared_ptr<const OutboundRequest> request;
     base::TimePoint deadline;
     bool isAbortable { true }; // may be aborted before its deadline once dropped
+    std::function<void()> onInterim; // called for each interim response; may be empty
 };
 
 // Result of an attempt: the upstream's reply, or an error with the known run state of the request.
@@ -69,6 +70,9 @@
     http::Endpoint endpoint;
     std::size_t maxConnections { 1 };
     std::size_t warmConnections { 1 }; // kept open without requests
+    // A dropped attempt is aborted after this time. Upstreams that pause for 0.1 to 0.15 s still answer within the
+    // default time, so their connection is kept.
+    base::Duration droppedAttemptTimeout { std::chrono::milliseconds(200) };
 
     bool operator==(const PoolSettings&) const = default;
 };
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -32,6 +32,8 @@
         packed->region = node.region;
         packed->operators = node.operators;
         packed->traffic_threads = node.trafficThreads;
+        packed->fanouts = node.fanouts;
+        packed->processor_milli = node.processorMilli;
         return packed;
     }
 
@@ -40,7 +42,7 @@
         if (!packed)
             return {};
         return { { packed->endpoint, packed->boot }, packed->zone, packed->region, packed->operators,
-            packed->traffic_threads };
+            packed->traffic_threads, packed->fanouts, packed->processor_milli };
     }
 
     std::unique_ptr<fb::GossipT> pack(const fleet::Gossip& gossip)
