Bound the bytes that an attempt at an upstream may receive

Cause: interim responses and answers to other requests were skipped without a limit, and each part of a gather could be 8 MiB long. A faulty upstream that sends without end kept an attempt, its connection and the thread busy up to the deadline, and 90 shards at once could fill 720 MB on a VM of 160 MB.

--- a/src/entry/internal/activerequest.cpp
+++ b/src/entry/internal/activerequest.cpp
@@ -9,6 +9,14 @@
 using upstreamclient::ReplyKind;
 using upstreamclient::UpstreamReply;
 
+namespace {
+
+    // A request over many shards receives as many parts at the same time, and small VMs have 160 MB of memory.
+    constexpr std::size_t MaxPartBytes = 256 * 1024;
+    constexpr std::size_t MaxResponseBytes = 8 * 1024 * 1024;
+
+} // namespace
+
 ActiveRequest::ActiveRequest(EntryState& state, std::shared_ptr<const routing::RouteTable> routes,
     const routing::Route& route, const DecodedRequest& request, std::vector<std::shared_ptr<ServiceState>> services,
     const fanout::FanoutSpec& spec)
@@ -130,7 +138,8 @@
     state_.directory.selector().onSent(action.upstream, action.attempt, latency_.typical(), now);
     recordEvent(action.isExtra ? EventKind::Hedged : EventKind::Sent, action.shard, action.upstream);
     state_.directory.pool(action.upstream)
-        .send({ action.attempt, outboundRequest_, spec_.deadline, spec_.isIdempotent },
+        .send({ action.attempt, outboundRequest_, spec_.deadline, spec_.isIdempotent,
+                  route_.isFanout() ? MaxPartBytes : MaxResponseBytes, {} },
             [self = shared_from_this(), id = action.attempt](
                 upstreamclient::AttemptResult result) { self->onResult(id, std::move(result)); });
 }
--- a/src/entry/internal/delegatedrequest.cpp
+++ b/src/entry/internal/delegatedrequest.cpp
@@ -15,6 +15,8 @@
     // A delegate confirms within the round trip and its scheduling delay. The rest of the goal must suffice for running
     // the request here.
     constexpr double AcknowledgementFraction = 0.25; // of the time until the goal
+    constexpr std::size_t MaxResponseBytes = 2 * 1024 * 1024; // merged records and the stamps of all parts
+
     constexpr base::Duration MinAcknowledgementTime = std::chrono::milliseconds(8);
 
 } // namespace
@@ -55,7 +57,7 @@
         std::chrono::duration_cast<base::Duration>(AcknowledgementFraction * (times_.goal - now)));
     armTimer(std::min(now + acknowledgementTime, times_.deadline));
     const auto self = shared_from_this();
-    upstreamclient::Attempt attempt { attempt_, request_, times_.deadline, true,
+    upstreamclient::Attempt attempt { attempt_, request_, times_.deadline, true, MaxResponseBytes,
         [weak = weak_from_this(), id = attempt_] {
             const auto request = weak.lock();
             if (!request || request->attempt_ != id || request->isAcknowledged_)
--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -36,7 +36,10 @@
     constexpr base::Duration DeadlineGracePeriod = std::chrono::milliseconds(100);
 
     constexpr std::size_t ReadBytes = 4'096;
-    constexpr std::uint64_t MaxResponseBytes = 8ULL * 1024 * 1024;
+
+    // Bytes of an attempt beside its response body: header fields, chunk headers, interim and unmatched responses.
+    constexpr std::size_t MaxOverheadBytes = 64 * 1024;
+
     constexpr unsigned FirstFinalStatus = 200;
 
 } // namespace
@@ -88,7 +91,8 @@
             break;
         buffer_.commit(received);
         lastProgress_ = pool_->hooks_.now();
-        if (!parseReceived())
+        attemptBytes_ += received;
+        if (!isWithinByteLimit() || !parseReceived())
             break;
     }
     isClosing_ = true;
@@ -123,6 +127,7 @@
     attempt_ = attempt;
     callback_ = std::move(callback);
     mayHaveBeenSent_ = false;
+    attemptBytes_ = 0;
     sentAt_ = pool_->hooks_.now();
     if (isOpen_)
         write();
@@ -158,6 +163,12 @@
         close(error.message().c_str());
 }
 
+// A faulty upstream may send bytes that are no answer without end.
+bool Connection::isWithinByteLimit() const
+{
+    return !attempt_ || attemptBytes_ <= attempt_->maxResponseBytes + MaxOverheadBytes;
+}
+
 // Feeds received bytes to the parser. Returns false when the connection must not be reused.
 bool Connection::parseReceived()
 {
@@ -169,7 +180,7 @@
         if (!parser_) {
             parser_.emplace();
             parser_->eager(true);
-            parser_->body_limit(MaxResponseBytes);
+            parser_->body_limit(attempt_->maxResponseBytes);
         }
         error_code error;
         buffer_.consume(parser_->put(buffer_.data(), error));
--- a/src/upstreamclient/internal/connection.h
+++ b/src/upstreamclient/internal/connection.h
@@ -43,6 +43,7 @@
     bool connect();
     void write();
     void finishWrite(std::string rest);
+    bool isWithinByteLimit() const;
     bool parseReceived();
     bool onResponse(http::Response&&);
     void finishAttempt(AttemptResult);
@@ -64,6 +65,7 @@
     base::TimePoint lastProgress_;
     std::optional<base::Duration> idleTimeout_;
     std::uint64_t responseCount_ { 0 };
+    std::size_t attemptBytes_ { 0 }; // received during the attempt, including interim and unmatched responses
     bool isOpen_ { false };
     bool isClosing_ { false };
     bool mayHaveBeenSent_ { false }; // some bytes may have reached the upstream
--- a/src/upstreamclient/tests/connectionpooltests.cpp
+++ b/src/upstreamclient/tests/connectionpooltests.cpp
@@ -14,6 +14,8 @@
 
 namespace {
 
+constexpr std::size_t MaxResponseBytes = 256 * 1024;
+
 // Test protocol: the header "Id" identifies the request, and "Not-Run" states that it did not run.
 UpstreamProtocol makeProtocol()
 {
@@ -87,7 +89,8 @@
         cr_assert(pool->hasCapacity());
         const auto request = std::make_shared<const OutboundRequest>(
             OutboundRequest { id, "GET /x HTTP/1.1\r\nId: " + id + "\r\n", "" });
-        pool->send({ ++lastAttempt, request, std::chrono::steady_clock::now() + timeout, true }, std::move(callback));
+        pool->send({ ++lastAttempt, request, std::chrono::steady_clock::now() + timeout, true, MaxResponseBytes, {} },
+            std::move(callback));
         return lastAttempt;
     }
 
@@ -224,6 +227,69 @@
         [](Harness& harness) { cr_assert_eq(harness.sendAndWait("a")->response.result_int(), 200); });
 }
 
+// Load pattern: an upstream sends bytes that are no answer without end, until its peer closes. Each attempt ends at its
+// limit of bytes or at its deadline, and buffers no more than the limit.
+Test(ConnectionPool, endsAttemptsOfEndlessResponses)
+{
+    struct Case {
+        const char* name;
+        std::string start;
+        std::string repeated;
+    };
+    const std::string filler(1'000, 'x');
+    const std::string chunk = "400\r\n" + std::string(1'024, 'y') + "\r\n";
+    for (const Case& endless : std::vector<Case> { { "status line", "HTTP/1.1 200 ", filler },
+             { "header field", "HTTP/1.1 200 OK\r\nLong: ", filler },
+             { "header fields", "HTTP/1.1 200 OK\r\n", "A: " + filler + "\r\n" },
+             { "body up to the end of the connection", "HTTP/1.1 200 OK\r\nId: a\r\n\r\n", filler },
+             { "length", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 99999999999\r\n\r\n", filler },
+             { "chunks", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n", chunk },
+             { "chunk extension", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5;a=", filler },
+             { "trailer", "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                 "A: " + filler + "\r\n" },
+             { "interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n" },
+             { "answers to another request", "", makeAnswer("other", filler) }, { "garbage", "", "\x01\xff" + filler },
+             { "empty lines", "", "\r\n\r\n" } }) {
+        auto sentBytes = std::make_shared<std::size_t>(0);
+        withServer(
+            [endless, sentBytes](RawConnection& connection) {
+                connection.readHead();
+                connection.write(endless.start);
+                std::string block;
+                while (block.size() < 4'000)
+                    block += endless.repeated;
+                while (connection.write(block))
+                    *sentBytes += block.size();
+            },
+            [&](Harness& harness) {
+                const auto begin = std::chrono::steady_clock::now();
+                cr_expect(!harness.sendAndWait("a").has_value(), "%s", endless.name);
+                cr_expect(std::chrono::steady_clock::now() - begin < std::chrono::milliseconds(1'000), "%s: too slow",
+                    endless.name);
+                // What the kernel buffers comes on top of the limit.
+                cr_expect_leq(
+                    *sentBytes, MaxResponseBytes + 8 * 1024 * 1024, "%s: %zu bytes", endless.name, *sentBytes);
+            });
+    }
+}
+
+// One byte now and then keeps a connection busy; the deadline ends the attempt.
+Test(ConnectionPool, endsAttemptsOfDrippingResponses)
+{
+    withServer(
+        [](RawConnection& connection) {
+            connection.readHead();
+            connection.write("HTTP/1.1 200 OK\r\nId: a\r\nLong: ");
+            while (connection.write("x"))
+                connection.pause(std::chrono::milliseconds(20));
+        },
+        [](Harness& harness) {
+            const auto begin = std::chrono::steady_clock::now();
+            cr_assert(!harness.sendAndWait("a", std::chrono::milliseconds(200)).has_value());
+            cr_assert(std::chrono::steady_clock::now() - begin < std::chrono::milliseconds(600));
+        });
+}
+
 Test(ConnectionPool, abortsAnAttemptAtItsDeadline)
 {
     withServer(
--- a/src/upstreamclient/tests/rawserver.h
+++ b/src/upstreamclient/tests/rawserver.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <functional>
@@ -40,10 +41,19 @@
         return head;
     }
 
-    void write(const std::string& bytes)
+    // Returns false when the peer has closed the connection.
+    bool write(const std::string& bytes)
     {
         boost::system::error_code error;
         boost::asio::async_write(socket_, boost::asio::buffer(bytes), runtime::useFiber[error]);
+        return !error;
+    }
+
+    void pause(std::chrono::milliseconds time)
+    {
+        boost::asio::steady_timer timer(socket_.get_executor(), time);
+        boost::system::error_code ignored;
+        timer.async_wait(runtime::useFiber[ignored]);
     }
 
     void reset()
--- a/src/upstreamclient/types.h
+++ b/src/upstreamclient/types.h
@@ -51,6 +51,7 @@
     std::shared_ptr<const OutboundRequest> request;
     base::TimePoint deadline;
     bool isAbortable { true }; // may be aborted before its deadline once dropped
+    std::size_t maxResponseBytes { 8 * 1024 * 1024 }; // of the body
     std::function<void()> onInterim; // called for each interim response; may be empty
 };
 
