Keep delegated requests within their attempts, choose large VMs as watchers, and gossip less

A small VM whose timer ran late restarted requests whose confirmation lay unread in its socket, and closed the connection only after sending its own 90 attempts, while the delegate hedged. (2) CONFIG: 8 VMs did not have a version of 1,164 routes after 6 s: the zone's watcher was a VM with a link of 26 Mbit/s, which sent half a megabyte to each of 58 others. (3) Each VM reported and gossiped a change of the members every second or two with all 295 VMs up: suspicions that came and went.

Change: (1) the timer looks for unread bytes first; a dropped attempt shuts its socket down at once; a delegate sends no hedge within the time in which the other VM may still run the request itself. (2) Watchers are chosen among a zone's VMs with at least half of its largest processor share. (3) Only members that come or go count as changes.

Tests: FanoutQuery/doesNotHedgeBeforeTheGivenTime, SourceChooser/selectsLargeVmsAsWatchers.

--- a/src/control/fleetmember.cpp
+++ b/src/control/fleetmember.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/sleep.h"
 
+#include <utility>
 #include <variant>
 
 namespace flamingousher::control {
@@ -44,11 +45,7 @@
     , hooks_(std::move(hooks))
     , random_(std::random_device {}())
     , membership_(identity.self, membershipSettings(),
-          { [this] { return random_(); },
-              [this] {
-                  changedAt_ = now();
-                  haveMembersChanged_ = true;
-              },
+          { [this] { return random_(); }, [this] { onMembershipChange(); },
               [this](const fleet::NodeInfo& from, const fleet::ConfigurationId& id) {
                   hooks_.onRevision(from, id.revision);
               },
@@ -85,6 +82,16 @@
     }
 }
 
+// Suspicions come and go all the time in a large fleet and leave the members as they are. Nodes under suspicion are
+// pinged anyway, so only members that come or go are worth gossip beyond the usual.
+void FleetMember::onMembershipChange()
+{
+    if (std::exchange(upChangeCount_, membership_.upChangeCount()) == membership_.upChangeCount())
+        return;
+    changedAt_ = now();
+    haveMembersChanged_ = true;
+}
+
 void FleetMember::reportMembers()
 {
     const bool isSettled = now() - changedAt_ >= SettleTime || now() - reportedAt_ >= MaxSettleTime;
--- a/src/control/fleetmember.h
+++ b/src/control/fleetmember.h
@@ -46,6 +46,7 @@
 
 private:
     void send(const std::vector<fleet::Outgoing>&);
+    void onMembershipChange();
     void reportMembers();
 
     boost::asio::io_context& io_;
@@ -54,6 +55,7 @@
     fleet::Membership membership_;
     peers::FleetTransport transport_;
     std::uint64_t revision_ { 0 };
+    std::uint64_t upChangeCount_ { 0 };
     bool haveMembersChanged_ { false };
     base::TimePoint changedAt_; // last change of the members
     base::TimePoint reportedAt_;
--- a/src/delegation/delegationprotocol.cpp
+++ b/src/delegation/delegationprotocol.cpp
@@ -17,6 +17,7 @@
 
     constexpr std::string_view VersionField = "Fanout-Configuration-Version";
     constexpr std::string_view GoalLeadField = "Fanout-Goal-Lead-Us";
+    constexpr std::string_view ConfirmField = "Fanout-Confirm-Within-Us";
     constexpr std::string_view RemainingField = "Fanout-Remaining-Us";
     constexpr std::string_view AnsweredRequestField = "Fanout-Request";
     constexpr std::string_view RefusedField = "Fanout-Refused";
@@ -66,11 +67,12 @@
 } // namespace
 
 std::shared_ptr<const OutboundRequest> makeDelegatedRequest(
-    const OutboundRequest& request, std::uint64_t version, base::Duration goalLead)
+    const OutboundRequest& request, std::uint64_t version, base::Duration goalLead, base::Duration confirmWithin)
 {
     return std::make_shared<const OutboundRequest>(OutboundRequest { request.requestId,
         request.head + makeField(VersionField, std::to_string(version))
-            + makeField(GoalLeadField, std::to_string(toMicroseconds(goalLead))),
+            + makeField(GoalLeadField, std::to_string(toMicroseconds(goalLead)))
+            + makeField(ConfirmField, std::to_string(toMicroseconds(confirmWithin))),
         request.body });
 }
 
@@ -84,11 +86,14 @@
     constexpr std::uint64_t MaxMicroseconds = 3'600'000'000;
     const auto version = takeNumber(request, VersionField);
     const auto goalLead = takeNumber(request, GoalLeadField);
+    const auto confirmWithin = takeNumber(request, ConfirmField);
     const auto remaining = takeNumber(request, RemainingField);
-    if (!version || !goalLead || !remaining || *goalLead > MaxMicroseconds || *remaining > MaxMicroseconds)
+    const auto isDuration = [](const auto& number) { return number && *number <= MaxMicroseconds; };
+    if (!version || !isDuration(goalLead) || !isDuration(confirmWithin) || !isDuration(remaining))
         return tl::unexpected(Error {
             ErrorCode::BadRequest, Step::Decode, {}, "a delegated request needs valid limits", RunState::NotRun });
-    return DelegatedLimits { *version, std::chrono::microseconds(*remaining), std::chrono::microseconds(*goalLead) };
+    return DelegatedLimits { *version, std::chrono::microseconds(*remaining), std::chrono::microseconds(*goalLead),
+        std::chrono::microseconds(*confirmWithin) };
 }
 
 void markResponse(http::Response& response, const std::string& requestId)
--- a/src/delegation/delegationprotocol.h
+++ b/src/delegation/delegationprotocol.h
@@ -17,13 +17,16 @@
     std::uint64_t version { 0 }; // of the configuration: the delegate must have the same in force
     base::Duration remaining { 0 }; // until the deadline, when the request was sent
     base::Duration goalLead { 0 }; // the latency goal ends this long before the deadline
+    // The delegating VM gives up without a confirmation within this time, and runs the request itself. Until then a
+    // delegate sends one attempt to each shard only.
+    base::Duration confirmWithin { 0 };
 
     bool operator==(const DelegatedLimits&) const = default;
 };
 
 // Returns the request with the limits that do not depend on the time at which it is sent.
-std::shared_ptr<const upstreamclient::OutboundRequest> makeDelegatedRequest(
-    const upstreamclient::OutboundRequest&, std::uint64_t version, base::Duration goalLead);
+std::shared_ptr<const upstreamclient::OutboundRequest> makeDelegatedRequest(const upstreamclient::OutboundRequest&,
+    std::uint64_t version, base::Duration goalLead, base::Duration confirmWithin);
 
 // Encodes delegated requests and decodes the delegates' responses. A reply of kind NotRun is a refusal: no upstream has
 // seen the request. All other responses are final.
--- a/src/delegation/tests/delegationprotocoltests.cpp
+++ b/src/delegation/tests/delegationprotocoltests.cpp
@@ -31,11 +31,14 @@
 
 Test(DelegationProtocol, carriesLimitsAndCallersRequest)
 {
-    const auto delegated = makeDelegatedRequest(CallersRequest, 17, std::chrono::milliseconds(200));
+    const auto delegated
+        = makeDelegatedRequest(CallersRequest, 17, std::chrono::milliseconds(200), std::chrono::milliseconds(9));
     http::Request request = parse(encode(*delegated));
     const auto limits = takeLimits(request);
     cr_assert(limits.has_value());
-    cr_assert(*limits == DelegatedLimits(17, std::chrono::milliseconds(250), std::chrono::milliseconds(200)));
+    cr_assert(*limits
+        == DelegatedLimits(
+            17, std::chrono::milliseconds(250), std::chrono::milliseconds(200), std::chrono::milliseconds(9)));
     // The delegate sees the caller's request alone.
     cr_assert_eq(std::distance(request.begin(), request.end()), 1);
     cr_assert_eq(http::readField(request, "Host"), "h");
@@ -43,10 +46,11 @@
 
 Test(DelegationProtocol, rejectsMissingAndMalformedLimits)
 {
-    const std::string valid = encode(*makeDelegatedRequest(CallersRequest, 17, std::chrono::milliseconds(200)));
+    const std::string valid = encode(
+        *makeDelegatedRequest(CallersRequest, 17, std::chrono::milliseconds(200), std::chrono::milliseconds(9)));
     for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>> { { ": 17", ": " },
              { ": 17", ": -1" }, { ": 200000", ": 2x" }, { ": 250000", ": 99999999999999999999" },
-             { ": 250000", ": 3600000001" }, { "Fanout-Remaining-Us", "Other" } }) {
+             { ": 250000", ": 3600000001" }, { ": 9000\r", ": \r" }, { "Fanout-Remaining-Us", "Other" } }) {
         std::string damaged = valid;
         damaged.replace(damaged.find(from), from.size(), to);
         http::Request request = parse(damaged);
@@ -57,7 +61,7 @@
 Test(DelegationProtocol, distinguishesRefusalsFromFinalResponses)
 {
     const auto protocol = makeDelegationProtocol();
-    http::Request request = parse(encode(*makeDelegatedRequest(CallersRequest, 17, {})));
+    http::Request request = parse(encode(*makeDelegatedRequest(CallersRequest, 17, {}, {})));
     http::Response refusal = refuseDelegated(request, "stopping");
     markResponse(refusal, "id-1");
     const auto refused = protocol.decode(std::move(refusal));
--- a/src/entry/internal/delegatedrequest.cpp
+++ b/src/entry/internal/delegatedrequest.cpp
@@ -14,10 +14,12 @@
 
     // A delegate confirms within the round trip and its scheduling delay. The rest of the goal must suffice for running
     // the request here.
-    constexpr double AcknowledgementFraction = 0.25; // of the time until the goal
+    constexpr double ConfirmationFraction = 0.25; // of the time until the goal
+    constexpr base::Duration UnreadDataDelay = std::chrono::milliseconds(1); // until what has arrived is read
+
     constexpr std::size_t MaxResponseBytes = 2 * 1024 * 1024; // merged records and the stamps of all parts
 
-    constexpr base::Duration MinAcknowledgementTime = std::chrono::milliseconds(8);
+    constexpr base::Duration MinConfirmationTime = std::chrono::milliseconds(8);
 
 } // namespace
 
@@ -26,10 +28,16 @@
     : state_(state)
     , request_(std::move(request))
     , times_(times)
+    , confirmationTime_(confirmationTime(times.goal - state.now()))
     , timer_(state.io)
 {
 }
 
+base::Duration DelegatedRequest::confirmationTime(base::Duration untilGoal)
+{
+    return std::max(MinConfirmationTime, std::chrono::duration_cast<base::Duration>(ConfirmationFraction * untilGoal));
+}
+
 DelegationResult DelegatedRequest::run()
 {
     std::vector<Delegates::DelegateId> tried;
@@ -53,9 +61,7 @@
     isAcknowledged_ = false;
     attempt_ = state_.nextId();
     const base::TimePoint now = state_.now();
-    const auto acknowledgementTime = std::max(MinAcknowledgementTime,
-        std::chrono::duration_cast<base::Duration>(AcknowledgementFraction * (times_.goal - now)));
-    armTimer(std::min(now + acknowledgementTime, times_.deadline));
+    armTimer(std::min(now + confirmationTime_, times_.deadline));
     const auto self = shared_from_this();
     upstreamclient::Attempt attempt { attempt_, request_, times_.deadline, true, MaxResponseBytes,
         [weak = weak_from_this(), id = attempt_] {
@@ -112,6 +118,11 @@
     // The wait may already have ended when the confirmation extended it.
     if (state_.now() < timer_.expiry())
         return;
+    // A small VM may be late itself: the confirmation has arrived but is not read yet.
+    if (state_.delegates.hasUnreadData(delegate_, attempt_) && state_.now() < times_.deadline) {
+        armTimer(std::min(state_.now() + UnreadDataDelay, times_.deadline));
+        return;
+    }
     const bool mayHaveRun = state_.delegates.drop(delegate_, attempt_, true);
     if (!mayHaveRun)
         finish(DelegationOutcome::NotRun, "the connection did not open in time");
--- a/src/entry/internal/delegatedrequest.h
+++ b/src/entry/internal/delegatedrequest.h
@@ -40,6 +40,9 @@
         base::Duration typical; // median time of delegated requests of this kind
     };
 
+    // Returns how long to wait for the confirmation of a request.
+    static base::Duration confirmationTime(base::Duration untilGoal);
+
     DelegatedRequest(EntryState&, std::shared_ptr<const upstreamclient::OutboundRequest>, const Times&);
 
     // Blocks the calling fiber.
@@ -58,6 +61,7 @@
     EntryState& state_;
     std::shared_ptr<const upstreamclient::OutboundRequest> request_;
     Times times_;
+    base::Duration confirmationTime_;
     boost::asio::steady_timer timer_;
     Delegates::DelegateId delegate_ { 0 };
     AttemptId attempt_ { 0 }; // in progress; 0 if none
--- a/src/entry/internal/delegates.h
+++ b/src/entry/internal/delegates.h
@@ -38,6 +38,12 @@
     // has provably not been sent.
     bool drop(DelegateId, balancing::AttemptId, bool isFault);
 
+    // Returns whether the delegate has sent something that this VM has not read yet.
+    bool hasUnreadData(DelegateId id, balancing::AttemptId attempt) const
+    {
+        return delegates_[id].pool->hasUnreadData(attempt);
+    }
+
     void onAnswered(DelegateId, balancing::AttemptId);
     void onFailed(DelegateId, balancing::AttemptId);
 
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -98,8 +98,8 @@
         timeout = std::min<base::Duration>(timeout, *decoded->timeout);
     const AnswerTimes deadlines = computeAnswerTimes(
         now, { route->goal, timeout, state_.writeTimes.reserve() }, exchange.roundTrip, exchange.isFirst);
-    const RoutedRequest routed { request, *decoded, *route, now, deadlines.goal, deadlines.deadline,
-        route->maxAttempts };
+    const RoutedRequest routed { request, *decoded, *route, now, deadlines.goal, deadlines.deadline, route->maxAttempts,
+        now };
     const bool isDelegated = route->isFanout() && route->isIdempotent && !state_.delegates.isEmpty();
     return isDelegated ? runDelegated(routed, routes, exchange) : run(routed, routes, exchange);
 }
@@ -108,8 +108,8 @@
     const RoutedRequest& routed, std::shared_ptr<const routing::RouteTable> routes, http::Exchange& exchange)
 {
     const auto delegated = std::make_shared<DelegatedRequest>(state_,
-        delegation::makeDelegatedRequest(
-            *routed.decoded.outbound, routes->configuration().version, routed.deadline - routed.goal),
+        delegation::makeDelegatedRequest(*routed.decoded.outbound, routes->configuration().version,
+            routed.deadline - routed.goal, DelegatedRequest::confirmationTime(routed.goal - routed.receivedAt)),
         DelegatedRequest::Times { routed.goal, routed.deadline, state_.delegatedLatency(routed.route).typical() });
     exchange.onPeerGone = [weak = std::weak_ptr(delegated)] {
         if (const auto request = weak.lock())
@@ -186,8 +186,9 @@
     const base::Duration untilGoal = std::max(base::Duration::zero(), limits->remaining - limits->goalLead);
     const AnswerTimes times = computeAnswerTimes(
         now, { untilGoal, limits->remaining, state_.writeTimes.reserve() }, exchange.roundTrip, false);
-    http::Response response = run(
-        { callerRequest, *decoded, *route, now, times.goal, times.deadline, route->maxAttempts }, routes, exchange);
+    http::Response response = run({ callerRequest, *decoded, *route, now, times.goal, times.deadline,
+                                      route->maxAttempts, now + limits->confirmWithin },
+        routes, exchange);
     delegation::markResponse(response, decoded->requestId);
     return response;
 }
@@ -228,7 +229,7 @@
             decision.retryAfter);
     }
     const fanout::FanoutSpec spec { static_cast<std::uint32_t>(services.size()), routed.goal, routed.deadline,
-        routed.route.minCoverage, routed.maxAttempts, routed.route.isIdempotent };
+        routed.route.minCoverage, routed.maxAttempts, routed.route.isIdempotent, routed.hedgeFrom };
     const auto active = std::make_shared<ActiveRequest>(
         state_, std::move(routes), routed.route, routed.decoded, std::move(services), spec);
     exchange.onPeerGone = [weak = std::weak_ptr(active)] {
--- a/src/entry/internal/requesthandler.h
+++ b/src/entry/internal/requesthandler.h
@@ -29,6 +29,7 @@
         base::TimePoint goal;
         base::TimePoint deadline;
         std::uint32_t maxAttempts; // per shard
+        base::TimePoint hedgeFrom; // no hedge is sent earlier
     };
 
     http::Response run(const RoutedRequest&, std::shared_ptr<const routing::RouteTable>, http::Exchange&);
--- a/src/fanout/fanoutquery.cpp
+++ b/src/fanout/fanoutquery.cpp
@@ -45,7 +45,7 @@
     state.tried.push_back(upstream);
     ++state.possibleRuns;
     state.hedgeAt = spec_.isIdempotent && state.possibleRuns < spec_.maxAttempts
-        ? now + hooks_.hedgeDelay(shard, upstream)
+        ? std::max(now + hooks_.hedgeDelay(shard, upstream), spec_.hedgeFrom)
         : base::TimePoint::max();
     actions.push_back(SendAttempt { id, shard, upstream, isExtra });
 }
--- a/src/fanout/tests/fanoutquerytests.cpp
+++ b/src/fanout/tests/fanoutquerytests.cpp
@@ -18,10 +18,10 @@
 
 // A query over shards with three upstreams each: shard s has 10 s, 10 s + 1 and 10 s + 2.
 struct Harness {
-    explicit Harness(
-        std::uint32_t shards, double minCoverage = 0.89, std::uint32_t maxAttempts = 2, bool isIdempotent = true)
-        : query(
-            { shards, Start + milliseconds(100), Start + milliseconds(800), minCoverage, maxAttempts, isIdempotent },
+    explicit Harness(std::uint32_t shards, double minCoverage = 0.89, std::uint32_t maxAttempts = 2,
+        bool isIdempotent = true, base::TimePoint hedgeFrom = {})
+        : query({ shards, Start + milliseconds(100), Start + milliseconds(800), minCoverage, maxAttempts, isIdempotent,
+                    hedgeFrom },
             { [this](std::uint32_t shard, const std::vector<UpstreamId>& tried) { return choose(shard, tried); },
                 [](std::uint32_t, UpstreamId) { return milliseconds(20); },
                 [this](std::uint32_t, ExtraAttempt) { return extraAttemptBudget-- > 0; }, [this] { return ++lastId; } })
@@ -135,6 +135,18 @@
     cr_assert(harness.droppedAttempts.contains(harness.attempts[0].at(0).attempt));
 }
 
+// Load pattern: the VM that delegated the request may run it again until this time, with one attempt for each shard.
+Test(FanoutQuery, doesNotHedgeBeforeTheGivenTime)
+{
+    Harness harness(1, 1.0, 2, true, Start + milliseconds(30));
+    harness.start();
+    harness.apply(harness.query.onTimer(Start + milliseconds(20)));
+    cr_assert_eq(harness.attempts[0].size(), 1);
+    cr_assert(harness.query.nextTimer() == Start + milliseconds(30));
+    harness.apply(harness.query.onTimer(Start + milliseconds(30)));
+    cr_assert_eq(harness.attempts[0].size(), 2);
+}
+
 Test(FanoutQuery, doesNotHedgeWithoutRetryBudget)
 {
     Harness harness(1, 1.0);
--- a/src/fanout/types.h
+++ b/src/fanout/types.h
@@ -21,6 +21,7 @@
     double minCoverage { 1 }; // fraction of the shards
     std::uint32_t maxAttempts { 1 }; // per shard, counting only attempts that may have run
     bool isIdempotent { true };
+    base::TimePoint hedgeFrom; // no hedge is sent earlier
 
     bool operator==(const FanoutSpec&) const = default;
 };
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -314,6 +314,7 @@
 
 void Membership::addUp(const NodeId& id)
 {
+    ++upChangeCount_;
     up_.push_back(id);
     left_.erase(id.endpoint);
     upByEndpoint_.insert_or_assign(id.endpoint, id);
@@ -321,6 +322,7 @@
 
 void Membership::removeUp(const NodeId& id)
 {
+    ++upChangeCount_;
     std::erase(up_, id);
     const auto found = upByEndpoint_.find(id.endpoint);
     if (found != upByEndpoint_.end() && found->second == id)
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -69,6 +69,9 @@
     // Number of alive or suspected nodes, including this one.
     std::size_t upCount() const { return up_.size() + 1; }
 
+    // Number of times that a node came up or went down. Suspicions do not count.
+    std::uint64_t upChangeCount() const { return upChangeCount_; }
+
     bool isUpAt(const std::string& endpoint) const { return upByEndpoint_.contains(endpoint); }
 
     // Returns true if the last known node at the endpoint has left as planned.
@@ -141,6 +144,7 @@
     std::vector<NodeId> up_; // alive or suspected
     std::unordered_map<std::string, NodeId> upByEndpoint_;
     std::set<std::string> left_; // endpoints of nodes that left as planned
+    std::uint64_t upChangeCount_ { 0 };
     std::size_t suspects_ { 0 };
     std::deque<bool> probeResults_; // newest last
     std::vector<NodeId> probeOrder_;
--- a/src/fleet/sourcechooser.cpp
+++ b/src/fleet/sourcechooser.cpp
@@ -15,11 +15,20 @@
     constexpr base::Duration FailureCooldown = std::chrono::milliseconds(2'000);
     constexpr base::Duration PreferenceDuration = std::chrono::milliseconds(3'000);
 
+    // A watcher answers all VMs of its zone at each change, so small VMs are not chosen where there are large ones.
+    void removeSmallVms(std::vector<NodeInfo>& vms)
+    {
+        const std::uint32_t maxProcessor = std::ranges::max(vms, {}, &NodeInfo::processorMilli).processorMilli;
+        std::erase_if(vms, [&](const NodeInfo& vm) { return vm.processorMilli * 2 < maxProcessor; });
+    }
+
     std::vector<NodeInfo> watchersOf(const std::vector<NodeInfo>& vms)
     {
         std::map<std::string, std::vector<NodeInfo>> zones;
         for (const NodeInfo& vm : vms)
             zones[vm.zone].push_back(vm);
+        for (auto& [zone, members] : zones)
+            removeSmallVms(members);
         std::vector<NodeInfo> watchers;
         watchers.reserve(zones.size());
         for (const auto& [zone, members] : zones)
--- a/src/fleet/tests/sourcechoosertests.cpp
+++ b/src/fleet/tests/sourcechoosertests.cpp
@@ -42,6 +42,22 @@
     cr_assert_eq(zones.size(), 3);
 }
 
+// Load pattern: a watcher answers the hundred VMs of its zone at each change of a configuration.
+Test(SourceChooser, selectsLargeVmsAsWatchers)
+{
+    auto vms = makeVms(90);
+    for (std::size_t index = 0; index < vms.size(); ++index)
+        vms[index].processorMilli = index % 10 == 3 ? 500 : 120;
+    std::size_t watchers = 0;
+    for (const NodeInfo& vm : vms) {
+        if (!SourceChooser::isWatcher(vms, vm))
+            continue;
+        ++watchers;
+        cr_expect_eq(vm.processorMilli, 500);
+    }
+    cr_assert_eq(watchers, 3);
+}
+
 Test(SourceChooser, followsTheStoreWhenNoOtherVmExists)
 {
     const auto vms = makeVms(1);
--- a/src/upstreamclient/connectionpool.cpp
+++ b/src/upstreamclient/connectionpool.cpp
@@ -99,6 +99,11 @@
     }
 }
 
+bool ConnectionPool::hasUnreadData(AttemptId id) const
+{
+    return std::ranges::any_of(connections_, [&](const auto& connection) { return connection->hasUnreadData(id); });
+}
+
 // An upstream at its connection limit accepts a connection before resetting it, so only an answer ends the backoff.
 void ConnectionPool::onAnswered()
 {
--- a/src/upstreamclient/connectionpool.h
+++ b/src/upstreamclient/connectionpool.h
@@ -47,6 +47,9 @@
     // outcome.
     void drop(AttemptId);
 
+    // Returns whether a response, or a part of one, has arrived for the attempt and is not read yet.
+    bool hasUnreadData(AttemptId) const;
+
     // Aborts overdue attempts, and closes unresponsive or surplus connections. Must be called periodically.
     void sweep();
 
--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -262,11 +262,22 @@
         attempt_.reset();
         pool_->hooks_.onDroppedFinished(id, DroppedOutcome::NeverSent);
     } else if (attempt_->isAbortable && pool_->settings_.droppedAttemptTimeout <= base::Duration::zero()) {
+        // At once, so that the peer notices before this thread goes on with other work.
+        error_code ignored;
+        socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
         close("dropped");
     }
     return true;
 }
 
+bool Connection::hasUnreadData(AttemptId id) const
+{
+    if (!attempt_ || attempt_->id != id || !isOpen_)
+        return false;
+    error_code error;
+    return socket_.available(error) > 0;
+}
+
 void Connection::close(const char* reason)
 {
     if (isClosing_)
--- a/src/upstreamclient/internal/connection.h
+++ b/src/upstreamclient/internal/connection.h
@@ -30,6 +30,9 @@
     // on this connection.
     bool drop(AttemptId);
 
+    // Returns whether bytes have arrived for the attempt that this process has not read yet.
+    bool hasUnreadData(AttemptId) const;
+
     bool isFree() const { return isOpen_ && !attempt_ && !isClosing_ && !isStale(); }
     bool isOpening() const { return !isOpen_ && !isClosing_; }
     bool isBusy() const { return attempt_.has_value(); }
