Let the soak's VMs differ in size, and read versions with the same shards correctly

Cause: no run of the soak delegated a request. Trace: VM 1 started with version 4 and served it until 17:30:40.641, when it took over 5 and 6, and 23 ms later 7. Version 7, published 30 ms before, has the shards of version 4, so the checker took answers of 4 for answers of 7.

Change: three of five VMs are large, the others delegate. An answer counts as the oldest published version with its shards that does not go back; a VM goes back only if there is none. That is as strict where versions differ in their shards.

Promises/ allowsOldVersionWhoseShardsAreUsedAgain fails with the former check; detectsRevertedConfiguration still finds its case.

--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -16,6 +16,11 @@
     constexpr std::uint16_t UpstreamPort = 8100;
     constexpr std::uint16_t StorePort = 8229;
     constexpr std::size_t MaxSeeds = 3;
+    // The small VMs delegate requests over many shards to the large ones, as long as enough of these are up.
+    constexpr std::size_t LargeVms = 3;
+    constexpr double LargeProcessor = 0.5;
+    constexpr double SmallProcessor = 0.12;
+
     constexpr std::size_t RecordLimit = 7;
     constexpr double MinCoverage = 0.6;
 
@@ -85,7 +90,8 @@
         callerProxies_.push_back(std::make_unique<Proxy>(io_, endpoint(VmGroup, vm, CallersPort)));
         throwIfFailed(callerProxies_.back()->listen(callersEndpoint(vm)), callersEndpoint(vm));
         vms_.push_back(std::make_unique<VmProcess>(VmSpec { spec_.daemon, spec_.folder, "vm-" + std::to_string(vm),
-            endpoint(VmGroup, vm, 0).address().to_string(), vm % 2 == 0 ? "a" : "b", storeProxyEndpoint, seeds }));
+            endpoint(VmGroup, vm, 0).address().to_string(), vm % 2 == 0 ? "a" : "b", storeProxyEndpoint, seeds,
+            vm < LargeVms ? LargeProcessor : SmallProcessor }));
         vms_.back()->start();
     }
 }
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -221,11 +221,16 @@
 void Promises::checkVersion(const Request& request, const PublishedConfiguration& version)
 {
     SeenVersion& seen = newestVersions_[{ request.sent.vm, request.sent.start }];
-    if (version.version < seen.version && request.sent.at > seen.at + bounds_.reorderTolerance)
+    // Versions may share their shards, so an answer counts as the oldest one that does not go back. The answers of a VM
+    // go back only if there is none.
+    const auto notOlder = std::ranges::find_if(published_, [&](const PublishedConfiguration& candidate) {
+        return candidate.version >= seen.version && candidate.shards == version.shards;
+    });
+    if (notOlder == published_.end() && request.sent.at > seen.at + bounds_.reorderTolerance)
         report("no reverting", request,
             "version " + std::to_string(version.version) + " after " + std::to_string(seen.version));
-    if (version.version > seen.version)
-        seen = { version.version, now_ };
+    if (notOlder != published_.end() && notOlder->version > seen.version)
+        seen = { notOlder->version, now_ };
     for (const PublishedConfiguration& newer : published_) {
         if (newer.version > version.version && request.sent.at > newer.at + bounds_.configuration
             && isUndisturbed(request.sent.vm, newer.at, request.sent.at)) {
--- a/soak/tests/promisestests.cpp
+++ b/soak/tests/promisestests.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace flamingousher;
 using namespace flamingousher::soak;
 using std::chrono::milliseconds;
@@ -176,3 +178,24 @@
     harness.promises.onArrived("s-0", "nobody's", Start);
     cr_assert(harness.violatesOnly("unasked"));
 }
+
+// Soak seed 203: a VM that was behind answered with version 1 when version 4, with the same shards, was published
+// already, and then took over versions 2 to 4.
+Test(Promises, allowsOldVersionWhoseShardsAreUsedAgain)
+{
+    Harness harness;
+    harness.promises.onPublished({ 3, { "c0", "c1" }, 0.5, 5, Start + milliseconds(9'900) });
+    harness.promises.onPublished({ 4, { "a0", "a1" }, 0.5, 5, Start + milliseconds(9'950) });
+    harness.answer("q", Harness::fanoutAnswer("q", { "a0", "a1" }));
+    harness.send("r", true, Start + milliseconds(10'400));
+    harness.answer("r", Harness::fanoutAnswer("r", { "c0", "c1" }), Start + milliseconds(10'450));
+    harness.send("s", true, Start + milliseconds(10'800));
+    harness.answer("s", Harness::fanoutAnswer("s", { "a0", "a1" }), Start + milliseconds(10'850));
+    for (const std::string& violation : harness.promises.violations())
+        cr_expect(!violation.starts_with("no reverting"), "%s", violation.c_str());
+    // Back to the shards of version 3, which are not used again.
+    harness.send("t", true, Start + milliseconds(11'600));
+    harness.answer("t", Harness::fanoutAnswer("t", { "c0", "c1" }), Start + milliseconds(11'650));
+    cr_expect(std::ranges::any_of(harness.promises.violations(),
+        [](const std::string& violation) { return violation.starts_with("no reverting"); }));
+}
--- a/soak/vmprocess.cpp
+++ b/soak/vmprocess.cpp
@@ -35,8 +35,9 @@
     std::ofstream file(spec_.folder + "/" + spec_.name + ".ini");
     const auto at = [&](std::uint16_t port) { return spec_.address + ":" + std::to_string(port); };
     file << "[node]\nname = " << spec_.name << "\naddress = " << spec_.address << "\nzone = " << spec_.zone
-         << "\nregion = r\nzones = a=r,b=r\nshutdown_ms = 6000\n[listen]\ncallers = " << at(CallersPort)
-         << "\nreadiness = " << at(ReadinessPort) << "\noperators = " << at(OperatorsPort)
+         << "\nregion = r\nzones = a=r,b=r\nprocessor = " << spec_.processor
+         << "\nshutdown_ms = 6000\n[listen]\ncallers = " << at(CallersPort) << "\nreadiness = " << at(ReadinessPort)
+         << "\noperators = " << at(OperatorsPort) << "\nfanouts = " << at(FanoutsPort)
          << "\n[platform]\nkind = store\nstore = " << http::toString(spec_.store)
          << "\n[peers]\ngossip = " << at(GossipPort)
          << "\nkey = soak-fleet-datagrams\nseeds = " << boost::algorithm::join(spec_.seeds, ",")
--- a/soak/vmprocess.h
+++ b/soak/vmprocess.h
@@ -17,6 +17,7 @@
     std::string zone;
     http::Endpoint store;
     std::vector<std::string> seeds;
+    double processor { 0 }; // stated share of a core
     double retrySlack { 30 };
 
     bool operator==(const VmSpec&) const = default;
@@ -26,6 +27,7 @@
 inline constexpr std::uint16_t ReadinessPort = 8227;
 inline constexpr std::uint16_t GossipPort = 8224;
 inline constexpr std::uint16_t OperatorsPort = 9180;
+inline constexpr std::uint16_t FanoutsPort = 7740;
 
 // One process of the product. Signals are sent only to the process started by this object.
 class VmProcess {
