Run a delegated request here when its connection is lost before the confirmation

Cause: a connection that was reset, or a delegate that ended, before it confirmed a request was answered 502 at once, although the delegate confirms before it sends the first attempt.

Change: such a loss counts as a missing confirmation, with its limits: one attempt less for each shard, once per window.

Figures: Delegation/runsRequestItselfWhenConnectionIsLostBeforeConfirmation fails without the change (502).

--- a/src/entry/internal/delegatedrequest.cpp
+++ b/src/entry/internal/delegatedrequest.cpp
@@ -89,8 +89,11 @@
         return;
     if (!result) {
         state_.delegates.onFailed(delegate_, id);
-        finish(result.error().runState == RunState::NotRun ? DelegationOutcome::NotRun : DelegationOutcome::Lost,
-            toString(result.error()));
+        // The confirmation is sent before the first attempt, so without it the request has hardly begun.
+        const auto outcome = result.error().runState == RunState::NotRun ? DelegationOutcome::NotRun
+            : isAcknowledged_                                            ? DelegationOutcome::Lost
+                                                                         : DelegationOutcome::Unacknowledged;
+        finish(outcome, toString(result.error()));
         return;
     }
     if (result->kind == ReplyKind::Success) {
