Answer requests that arrive while a planned stop closes connections

Cause: the shutdown of the HTTP server closed the listener at once, which resets the connections in its queue, dropped connections that were accepted but not read yet, and cancelled idle ones although a request had arrived on them.

Change: before the listener closes, all queued connections are accepted. Connections without a request close 200 ms later, so that what is on its way is answered, those with part of a request after 1 s. The server is idle once all have ended. Connections count as open when they are accepted, which is when their limit is checked.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,7 +1,9 @@
 #include "http/server.h"
 
+#include "base/types.h"
 #include "runtime/fiberthread.h"
 #include "runtime/listen.h"
+#include "runtime/sleep.h"
 #include "runtime/socketoptions.h"
 #include "runtime/usefiber.h"
 
@@ -24,6 +26,12 @@
     constexpr std::chrono::seconds RequestReadTimeout { 10 };
     constexpr std::chrono::seconds ResponseWriteTimeout { 30 };
 
+    // On shutdown, requests that arrive within this time are still answered: their callers could not know of it.
+    constexpr base::Duration IdleCloseDelay = std::chrono::milliseconds(200);
+
+    // On shutdown, a request of which a part has arrived is dropped after this time.
+    constexpr base::Duration PartialRequestCloseDelay = std::chrono::seconds(1);
+
     std::string describe(const tcp::socket& socket)
     {
         error_code error;
@@ -90,6 +98,8 @@
 Server::~Server()
 {
     beginShutdown();
+    state_->isClosingIdle = true;
+    closeReading(*state_, Reading::NextRequest);
 }
 
 error_code Server::listen(const Endpoint& endpoint, bool isShared)
@@ -118,6 +128,7 @@
         return;
     }
     ++state->counters.accepted;
+    ++state->counters.open;
     error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     auto stream = std::make_shared<Stream>(std::move(socket));
@@ -126,13 +137,27 @@
 
 void Server::runSession(const std::shared_ptr<State>& state, Stream stream)
 {
-    ++state->counters.open;
     beast::flat_buffer buffer;
     bool isFirst = true;
-    while (!state->isStopping && serveRequest(*state, stream, buffer, std::exchange(isFirst, false))) { }
-    --state->counters.open;
+    while (serveRequest(*state, stream, buffer, std::exchange(isFirst, false))) { }
     error_code ignored;
     stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    --state->counters.open;
+}
+
+// Returns false if the connection ends before a request.
+bool Server::readRequestStart(State& state, Stream& stream, beast::flat_buffer& buffer)
+{
+    error_code error;
+    if (buffer.size() > 0)
+        return true;
+    if (state.isClosingIdle && stream.socket().available(error) == 0)
+        return false;
+    state.readingStreams[&stream] = Reading::NextRequest;
+    stream.expires_after(state.limits.idleTimeout);
+    buffer.commit(stream.async_read_some(buffer.prepare(2048), useFiber[error]));
+    state.readingStreams.erase(&stream);
+    return !error;
 }
 
 bool Server::serveRequest(State& state, Stream& stream, beast::flat_buffer& buffer, bool isFirst)
@@ -140,18 +165,13 @@
     beast::http::request_parser<beast::http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(state.limits.headerBytes));
     parser.body_limit(state.limits.bodyBytes);
+    if (!readRequestStart(state, stream, buffer))
+        return false;
     error_code error;
-    if (buffer.size() == 0) {
-        // An idle connection may be closed immediately on shutdown.
-        state.idleStreams.insert(&stream);
-        stream.expires_after(state.limits.idleTimeout);
-        buffer.commit(stream.async_read_some(buffer.prepare(2048), useFiber[error]));
-        state.idleStreams.erase(&stream);
-        if (error)
-            return false;
-    }
+    state.readingStreams[&stream] = Reading::RestOfRequest;
     stream.expires_after(RequestReadTimeout);
     beast::http::async_read(stream, buffer, parser, useFiber[error]);
+    state.readingStreams.erase(&stream);
     if (error) {
         rejectMalformed(state, stream, error);
         return false;
@@ -200,12 +220,43 @@
 {
     if (state_->isStopping)
         return;
+    acceptQueued();
     state_->isStopping = true;
     error_code ignored;
     if (acceptor_)
         acceptor_->close(ignored);
-    for (Stream* stream : state_->idleStreams)
-        stream->cancel();
+    runtime::spawnFiber([state = state_, &io = io_] {
+        runtime::sleepFor(io, IdleCloseDelay);
+        state->isClosingIdle = true;
+        closeReading(*state, Reading::NextRequest);
+        runtime::sleepFor(io, PartialRequestCloseDelay - IdleCloseDelay);
+        closeReading(*state, Reading::RestOfRequest);
+    });
+}
+
+// Accepts the connections that are open for their peers already: closing the listener would reset them.
+void Server::acceptQueued()
+{
+    error_code error;
+    if (!acceptor_ || acceptor_->non_blocking(true, error))
+        return;
+    for (;;) {
+        tcp::socket socket(io_);
+        if (acceptor_->accept(socket, error))
+            return;
+        accept(state_, std::move(socket));
+    }
+}
+
+// What has arrived on a connection that waits for a request is still read.
+void Server::closeReading(const State& state, Reading reading)
+{
+    for (const auto& [stream, streamReading] : state.readingStreams) {
+        error_code ignored;
+        const bool hasArrived = reading == Reading::NextRequest && stream->socket().available(ignored) > 0;
+        if (streamReading == reading && !hasArrived)
+            stream->cancel();
+    }
 }
 
 } // namespace flamingousher::http
--- a/src/http/tests/servertests.cpp
+++ b/src/http/tests/servertests.cpp
@@ -3,6 +3,7 @@
 #include "runtime/fiberthread.h"
 #include "runtime/usefiber.h"
 
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -157,6 +158,125 @@
     cr_expect(didFinish);
 }
 
+namespace {
+
+// Connects and sends without letting the server's fibers run.
+void connectAndSend(boost::asio::ip::tcp::socket& socket, const Endpoint& endpoint, const std::string& bytes)
+{
+    socket.connect(endpoint);
+    boost::asio::write(socket, boost::asio::buffer(bytes));
+}
+
+// Reads until the peer closes the connection.
+std::string readAll(boost::asio::ip::tcp::socket& socket)
+{
+    std::string text;
+    boost::system::error_code error;
+    boost::asio::async_read(socket, boost::asio::dynamic_buffer(text), useFiber[error]);
+    return text;
+}
+
+std::size_t countOf(const std::string& text, const std::string& word)
+{
+    std::size_t count = 0;
+    for (std::size_t at = text.find(word); at != std::string::npos; at = text.find(word, at + 1))
+        ++count;
+    return count;
+}
+
+// Returns whether all of the server's sessions end within a second.
+bool becomesIdle(boost::asio::io_context& io, const Server& server)
+{
+    for (int round = 0; round < 1'000 && !server.isIdle(); ++round) {
+        boost::asio::steady_timer timer(io, std::chrono::milliseconds(1));
+        timer.async_wait(useFiber);
+    }
+    return server.isIdle();
+}
+
+const std::string SmallRequest = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+} // namespace
+
+// Load pattern: a planned stop under load, with connections that the process has not accepted yet.
+Test(HttpServer, answersRequestsInListenQueueOnShutdown)
+{
+    runtime::FiberThread thread("test");
+    thread.call([&] {
+        Server server(thread.io(), {}, echo);
+        server.listen(AnyPort);
+        std::vector<boost::asio::ip::tcp::socket> sockets;
+        for (int index = 0; index < 20; ++index) {
+            sockets.emplace_back(thread.io());
+            connectAndSend(sockets.back(), server.localEndpoint(), SmallRequest);
+        }
+        server.beginShutdown();
+        cr_expect_not(server.isIdle(), "requests are not read yet");
+        for (auto& socket : sockets)
+            cr_expect_eq(countOf(readAll(socket), "200 OK"), 1);
+        cr_expect(becomesIdle(thread.io(), server));
+    });
+}
+
+// Load pattern: a planned stop while callers keep using their open connections.
+Test(HttpServer, answersRequestThatIsUnreadOnShutdown)
+{
+    runtime::FiberThread thread("test");
+    thread.call([&] {
+        Server server(thread.io(), {}, echo);
+        server.listen(AnyPort);
+        boost::asio::ip::tcp::socket used(thread.io());
+        connectAndSend(used, server.localEndpoint(), SmallRequest);
+        char reply[512];
+        boost::system::error_code error;
+        used.async_read_some(boost::asio::buffer(reply), useFiber[error]);
+        boost::asio::ip::tcp::socket idle(thread.io());
+        idle.async_connect(server.localEndpoint(), useFiber[error]);
+        boost::asio::write(used, boost::asio::buffer(SmallRequest));
+        server.beginShutdown();
+        cr_expect_eq(countOf(readAll(used), "200 OK"), 1);
+        cr_expect(readAll(idle).empty());
+        cr_expect(becomesIdle(thread.io(), server));
+    });
+}
+
+// The second request has arrived before the response that announces the close.
+Test(HttpServer, answersPipelinedRequestsOnShutdown)
+{
+    runtime::FiberThread thread("test");
+    thread.call([&] {
+        Server server(thread.io(), {}, echo);
+        server.listen(AnyPort);
+        boost::asio::ip::tcp::socket socket(thread.io());
+        connectAndSend(socket, server.localEndpoint(), SmallRequest + SmallRequest.substr(0, 8));
+        server.beginShutdown();
+        boost::asio::write(socket, boost::asio::buffer(SmallRequest.substr(8)));
+        cr_expect_geq(countOf(readAll(socket), "200 OK"), 1);
+        cr_expect(becomesIdle(thread.io(), server));
+    });
+}
+
+// Load pattern: a planned stop while the first requests on new connections are still on their way.
+Test(HttpServer, waitsForFirstRequestOfNewConnectionOnShutdown)
+{
+    runtime::FiberThread thread("test");
+    thread.call([&] {
+        Server server(thread.io(), {}, echo);
+        server.listen(AnyPort);
+        boost::asio::ip::tcp::socket socket(thread.io());
+        boost::asio::ip::tcp::socket silent(thread.io());
+        socket.connect(server.localEndpoint());
+        silent.connect(server.localEndpoint());
+        server.beginShutdown();
+        boost::asio::steady_timer timer(thread.io(), std::chrono::milliseconds(20));
+        timer.async_wait(useFiber);
+        boost::asio::write(socket, boost::asio::buffer(SmallRequest));
+        cr_expect_eq(countOf(readAll(socket), "200 OK"), 1);
+        cr_expect(readAll(silent).empty());
+        cr_expect(becomesIdle(thread.io(), server));
+    });
+}
+
 Test(HttpServer, passesRoundTripTimeAndFirstRequestFlagToHandler)
 {
     runtime::FiberThread thread("test");
--- a/src/http/types.cpp
+++ b/src/http/types.cpp
@@ -42,6 +42,12 @@
         boost::beast::string_view(name.data(), name.size()), boost::beast::string_view(value.data(), value.size()));
 }
 
+void addField(boost::beast::http::fields& fields, std::string_view name, std::string_view value)
+{
+    fields.insert(
+        boost::beast::string_view(name.data(), name.size()), boost::beast::string_view(value.data(), value.size()));
+}
+
 Response makeResponse(const Request& request, Status status, const std::string& contentType, std::string body)
 {
     Response response { status, request.version() };
--- a/src/http/types.h
+++ b/src/http/types.h
@@ -73,6 +73,9 @@
 std::string readField(const boost::beast::http::fields&, std::string_view name);
 void setField(boost::beast::http::fields&, std::string_view name, std::string_view value);
 
+// Adds a field beside others of the same name.
+void addField(boost::beast::http::fields&, std::string_view name, std::string_view value);
+
 Response makeResponse(const Request&, Status, const std::string& contentType, std::string body);
 Response makeJsonResponse(const Request&, Status, std::string body);
 
