--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -180,6 +180,7 @@
         if (!parser_) {
             parser_.emplace();
             parser_->eager(true);
+            parser_->header_limit(MaxOverheadBytes);
             parser_->body_limit(attempt_->maxResponseBytes);
         }
         error_code error;
--- a/src/upstreamclient/tests/connectionpooltests.cpp
+++ b/src/upstreamclient/tests/connectionpooltests.cpp
@@ -408,6 +408,24 @@
     });
 }
 
+// A delegate's response lists the stamps of hundreds of shards.
+Test(ConnectionPool, acceptsAHeadOfManyFields)
+{
+    withServer(
+        [](RawConnection& connection) {
+            const std::string id = idOf(connection.readHead());
+            std::string fields;
+            for (int index = 0; index < 20; ++index)
+                fields += "Stamps: " + std::string(1'000, 's') + "\r\n";
+            connection.write("HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + fields + "Content-Length: 0\r\n\r\n");
+        },
+        [](Harness& harness) {
+            const AttemptResult result = harness.sendAndWait("a");
+            cr_assert(result.has_value());
+            cr_expect_eq(result->response.count("Stamps"), 20u);
+        });
+}
+
 // Each attempt ends, and no answer is delivered to another request, whatever bytes an upstream sends.
 Test(ConnectionPool, survivesDamagedAnswers)
 {
