End one request, not the process, on an unexpected error

Cause: nothing caught an exception in the handling of a request. One that escapes a fiber ends the process with all requests in progress; the stamp lists were one way to cause it.

Change: http::guardErrors answers 500 (run state unknown), closes the connection and reports to the log and a counter. It wraps the handlers of callers, of delegated requests and of the operators' port. Loops that keep the state of the control thread are not guarded: if one of them ended silently, the VM would go on with a stale view.

--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/identity.h"
 #include "http/client.h"
+#include "http/errorguard.h"
 #include "platform/callerprotocol.h"
 #include "platform/readiness.h"
 #include "platform/upstreamprotocol.h"
@@ -83,7 +84,13 @@
             control_.io(), watcher_->mirror(), [this] { return watcher_->isFresh(); });
         readiness_ = std::make_unique<http::Server>(
             control_.io(), http::ServerLimits {}, platform::makeReadinessHandler([this] { return isReady(); }));
-        operators_ = std::make_unique<http::Server>(control_.io(), http::ServerLimits {}, makeOperatorsHandler());
+        operators_ = std::make_unique<http::Server>(control_.io(), http::ServerLimits {},
+            http::guardErrors(makeOperatorsHandler(),
+                [this](const http::Request& request, const http::Exchange& exchange, const std::exception& exception) {
+                    log_.writeDecision("unexpected_error",
+                        { { "peer", exchange.peer }, { "target", std::string(request.target()) },
+                            { "reason", exception.what() } });
+                }));
     });
     const auto makeError = [](const std::string& portName, const http::Endpoint& endpoint, const auto& error) {
         return tl::unexpected(portName + " " + http::toString(endpoint) + ": " + error.message());
--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -3,6 +3,7 @@
 #include "entry/internal/entrystate.h"
 #include "entry/internal/requesthandler.h"
 #include "http/client.h"
+#include "http/errorguard.h"
 #include "http/server.h"
 #include "runtime/sleep.h"
 
@@ -46,21 +47,33 @@
         const upstreamclient::UpstreamProtocol& upstreams, std::function<void(const std::string&)> writeLog)
         : shared(io, settings, callers, upstreams, std::move(writeLog))
         , handler(shared)
-        , server(io, makeServerLimits({}),
-              [this](const http::Request& request, http::Exchange& exchange) {
-                  http::Response response = handler.handle(request, exchange);
-                  // Makes the caller send its next request to another VM.
-                  if (shared.isStopping)
-                      response.keep_alive(false);
-                  return response;
-              })
+        , server(io, makeServerLimits({}), guard([this](const http::Request& request, http::Exchange& exchange) {
+            http::Response response = handler.handle(request, exchange);
+            // Makes the caller send its next request to another VM.
+            if (shared.isStopping)
+                response.keep_alive(false);
+            return response;
+        }))
         , delegationServer(
-              io, makeDelegationLimits({}), [this](const http::Request& request, http::Exchange& exchange) {
+              io, makeDelegationLimits({}), guard([this](const http::Request& request, http::Exchange& exchange) {
                   return handler.handleDelegated(request, exchange);
-              })
+              }))
     {
     }
 
+    http::Handler guard(http::Handler handler)
+    {
+        return http::guardErrors(std::move(handler),
+            [this](const http::Request& request, const http::Exchange& exchange, const std::exception& exception) {
+                shared.metrics
+                    .counter("flamingousher_unexpected_errors_total", "Requests ended by unexpected errors.", {})
+                    .add();
+                shared.log.writeDecision("unexpected_error",
+                    { { "peer", exchange.peer }, { "target", std::string(request.target()) },
+                        { "reason", exception.what() } });
+            });
+    }
+
     EntryState shared;
     RequestHandler handler;
     http::Server server; // of callers
--- a/src/http/tests/servertests.cpp
+++ b/src/http/tests/servertests.cpp
@@ -1,4 +1,5 @@
 #include "http/client.h"
+#include "http/errorguard.h"
 #include "http/server.h"
 #include "runtime/fiberthread.h"
 #include "runtime/usefiber.h"
@@ -10,6 +11,7 @@
 #include <criterion/criterion.h>
 
 #include <random>
+#include <stdexcept>
 
 using namespace flamingousher;
 using namespace flamingousher::http;
@@ -103,6 +105,34 @@
     cr_expect(isServing);
 }
 
+// Fault: an unexpected error, such as a message that cannot be built, must not end the process.
+Test(HttpServer, staysUpAfterUnexpectedErrorInHandler)
+{
+    runtime::FiberThread thread("test");
+    thread.call([&] {
+        std::string reported;
+        const Handler handler = [](const Request& request, Exchange& exchange) -> Response {
+            if (request.target() == "/fails")
+                throw std::length_error("too long");
+            return echo(request, exchange);
+        };
+        Server server(thread.io(), {},
+            guardErrors(handler, [&](const Request&, const Exchange&, const std::exception& exception) {
+                reported = exception.what();
+            }));
+        server.listen(AnyPort);
+        const auto fetchStatus = [&](const std::string& target) {
+            const auto response
+                = fetch(thread.io(), server.localEndpoint(), makeRequest(verb::get, target), std::chrono::seconds(5));
+            return response ? response->result_int() : 0;
+        };
+        cr_expect_eq(fetchStatus("/fails"), 500u);
+        cr_expect_eq(fetchStatus("/a"), 200u);
+        cr_expect_eq(reported, "too long");
+        cr_expect(server.isIdle());
+    });
+}
+
 Test(HttpServer, notifiesHandlerWhenPeerDisconnects)
 {
     runtime::FiberThread thread("test");
