Delegate requests before the view of the fleet has settled

Change: until the first view has settled, the members known so far are reported every 200 ms, and delegates alone are chosen from them. Connections and budgets still wait for the settled view: a VM that sees half of the fleet would take too large a share. The settled view replaces the first one.

--- a/src/control/fleetmember.cpp
+++ b/src/control/fleetmember.cpp
@@ -26,6 +26,9 @@
     constexpr base::Duration SettleTime = std::chrono::milliseconds(700);
     constexpr base::Duration MaxSettleTime = std::chrono::milliseconds(2'500);
 
+    // Until the first view has settled, interval between reports of the members known so far.
+    constexpr base::Duration FirstReportInterval = std::chrono::milliseconds(200);
+
     fleet::MembershipSettings membershipSettings()
     {
         fleet::MembershipSettings settings;
@@ -95,8 +98,13 @@
 void FleetMember::reportMembers()
 {
     const bool isSettled = now() - changedAt_ >= SettleTime || now() - reportedAt_ >= MaxSettleTime;
+    if (haveMembersChanged_ && !isSettled && !hasReported_ && now() >= nextFirstReport_) {
+        nextFirstReport_ = now() + FirstReportInterval;
+        hooks_.onFirstMembers(nodes());
+    }
     if (!haveMembersChanged_ || !isSettled)
         return;
+    hasReported_ = true;
     haveMembersChanged_ = false;
     reportedAt_ = now();
     hooks_.onMembersChanged(nodes());
--- a/src/control/fleetmember.h
+++ b/src/control/fleetmember.h
@@ -20,6 +20,10 @@
         // Called with the VMs that are up, this VM first, when membership has settled after a change.
         std::function<void(const std::vector<fleet::NodeInfo>&)> onMembersChanged;
 
+        // Called while the first view has not settled yet, with the VMs known so far, this VM first. Others are
+        // missing.
+        std::function<void(const std::vector<fleet::NodeInfo>&)> onFirstMembers;
+
         // Called when another VM reports the store revision that it holds.
         std::function<void(const fleet::NodeInfo& from, std::uint64_t revision)> onRevision;
     };
@@ -57,6 +61,8 @@
     std::uint64_t revision_ { 0 };
     std::uint64_t upChangeCount_ { 0 };
     bool haveMembersChanged_ { false };
+    bool hasReported_ { false };
+    base::TimePoint nextFirstReport_;
     base::TimePoint changedAt_; // last change of the members
     base::TimePoint reportedAt_;
 };
--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -161,6 +161,7 @@
 {
     return {
         [this](const std::vector<fleet::NodeInfo>& vms) { onFleetView(vms); },
+        [this](const std::vector<fleet::NodeInfo>& vms) { entry_.applyFirstMembers(vms, fleet_->self()); },
         [this](const fleet::NodeInfo& from, std::uint64_t revision) { onPeerRevision(from, revision); },
     };
 }
--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -156,6 +156,14 @@
     });
 }
 
+void EntryThread::applyFirstMembers(std::vector<fleet::NodeInfo> vms, const fleet::NodeInfo& self)
+{
+    thread_.call([&] {
+        state_->shared.directory.setFirstMembers(vms, self);
+        state_->shared.updateDelegates();
+    });
+}
+
 void EntryThread::beginShutdown()
 {
     thread_.call([this] { state_->shared.isStopping = true; });
--- a/src/entry/entrythread.h
+++ b/src/entry/entrythread.h
@@ -40,6 +40,9 @@
     // Sets the VMs, including this one, that share the connection limits of the upstreams and the retry budgets.
     void applyFleet(std::vector<fleet::NodeInfo>, const fleet::NodeInfo& self);
 
+    // Applies a first view of the fleet, which is not complete: only delegates are chosen from it.
+    void applyFirstMembers(std::vector<fleet::NodeInfo> vms, const fleet::NodeInfo& self);
+
     // Closes each connection after its next response. New connections and requests are still accepted.
     void beginShutdown();
 
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -231,7 +231,7 @@
     return { 0, areAffordable ? RestartsPerVm : 0, settings_.retryWindow };
 }
 
-void Directory::updatePlan()
+delegation::DelegationPlan Directory::makePlan(const std::vector<fleet::NodeInfo>& vms) const
 {
     std::set<std::string> zones;
     for (const std::string& name : shardedServices_) {
@@ -240,7 +240,12 @@
                 zones.insert(entry(id).zone);
         }
     }
-    plan_ = vms_.empty() ? delegation::DelegationPlan {} : delegation::makeDelegationPlan(vms_, self_, zones);
+    return vms.empty() ? delegation::DelegationPlan {} : delegation::makeDelegationPlan(vms, self_, zones);
+}
+
+void Directory::updatePlan()
+{
+    plan_ = makePlan(vms_);
     restarts_.setSettings(restartSettings());
 }
 
@@ -262,6 +267,19 @@
     refreshLimits();
 }
 
+void Directory::setFirstMembers(const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self)
+{
+    if (!vms_.empty())
+        return;
+    firstMembers_ = vms;
+    self_ = self;
+}
+
+std::vector<fleet::NodeInfo> Directory::chooseDelegates() const
+{
+    return vms_.empty() ? makePlan(firstMembers_).delegates : plan_.delegates;
+}
+
 void Directory::setFleet(const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self)
 {
     vms_ = vms;
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -54,6 +54,13 @@
     // Returns which VMs run the requests over many shards.
     const delegation::DelegationPlan& delegationPlan() const { return plan_; }
 
+    // Returns the VMs to which this VM delegates. Until the fleet is known, they are chosen from the first members: a
+    // small VM would take too long to open connections to all shards itself.
+    std::vector<fleet::NodeInfo> chooseDelegates() const;
+
+    // Sets the members known before the view of the fleet has settled. No effect once setFleet() has been called.
+    void setFirstMembers(const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self);
+
     // Consumes one restart of a request that a delegate may have started. Returns false if there is none left.
     bool tryAcquireRestart() { return restarts_.tryAcquire(balancing::ExtraAttempt::Retry, now_()); }
 
@@ -106,6 +113,7 @@
     balancing::RetryBudgetSettings restartSettings() const;
     bool isSharded(const std::string& service) const { return shardedServices_.contains(service); }
     bool isDelegationUsed() const { return plan_.executors.size() < vms_.size(); }
+    delegation::DelegationPlan makePlan(const std::vector<fleet::NodeInfo>& vms) const;
     void updatePlan();
     upstreamclient::ConnectionPool::Hooks poolHooks(UpstreamId, const std::string& service);
     void refreshLimits();
@@ -116,6 +124,7 @@
     eventlog::EventLog& log_;
     std::function<base::TimePoint()> now_;
     std::vector<fleet::NodeInfo> vms_; // empty until the fleet is known
+    std::vector<fleet::NodeInfo> firstMembers_; // used until then
     fleet::NodeInfo self_;
     delegation::DelegationPlan plan_;
     std::set<std::string> shardedServices_; // services that are shards of a route
--- a/src/entry/internal/entrystate.cpp
+++ b/src/entry/internal/entrystate.cpp
@@ -50,7 +50,7 @@
 
 void EntryState::updateDelegates()
 {
-    delegates.set(directory.delegationPlan().delegates);
+    delegates.set(directory.chooseDelegates());
 }
 
 } // namespace flamingousher::entry
