Name a test of the shutdown by what it checks, and remove an alias

The test sends one request and the start of a second: the first is answered, the second may be dropped with the connection, as its response would announce. No check changed.

--- a/src/fleet/tests/viewcomparisontests.cpp
+++ b/src/fleet/tests/viewcomparisontests.cpp
@@ -160,9 +160,8 @@
     Pair pair;
     cr_expect_leq(pair.exchange(), 2, "views that agree need no more than the probe and its answer");
     for (std::uint64_t index = 0; index < 200; ++index) {
-        Pair& fleet = pair;
-        fleet.tell(index % 2 == 0 ? fleet.first : fleet.second, makeNode("n" + std::to_string(index), index),
-            MemberState::Alive);
+        Membership& told = index % 2 == 0 ? pair.first : pair.second;
+        pair.tell(told, makeNode("n" + std::to_string(index), index), MemberState::Alive);
     }
     cr_expect_leq(pair.exchange(), 4);
 }
--- a/src/http/tests/servertests.cpp
+++ b/src/http/tests/servertests.cpp
@@ -270,8 +270,8 @@
     });
 }
 
-// The second request has arrived before the response that announces the close.
-Test(HttpServer, answersPipelinedRequestsOnShutdown)
+// Load pattern: a planned stop while the rest of a pipelined request is still on its way.
+Test(HttpServer, answersFirstOfPipelinedRequestsOnShutdown)
 {
     runtime::FiberThread thread("test");
     thread.call([&] {
