--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -180,13 +180,12 @@
     control_.post([this, from, revision] {
         runtime::sleepFor(control_.io(), CatchUpTimeout);
         isCatchingUp_ = false;
-        if (revision <= watcher_->revision())
+        if (revision <= watcher_->revision() || !watcher_->reselectSource())
             return;
         log_.writeDecision("source_behind",
             { { "source", lastSource_.endpoint }, { "revision", watcher_->revision() }, { "newer", revision },
                 { "at", from.operators } });
         sources_.prefer(from.operators, std::chrono::steady_clock::now());
-        watcher_->reselectSource();
     });
 }
 
