Keep the requests to an upstream within the limit that it names

What callers of other systems saw: an upstream in need got far more requests than the limit that it had named, all VMs together.

Cause: the field was not decoded; nothing in the choice of a replica knew of such a limit.

Change: UpstreamPacer (balancing, no I/O) gives this VM its share of the limit, like the share of the connections: by the number of VMs, or of those that run requests over many shards. A replica without a free request counts as one without a free connection: others are chosen, then the sub-request waits. Admission knows that wait, and refuses at once what cannot be answered in time. A response without the field ends the limit; limits of 0 still allow one request each 2 s over all VMs, since nothing else would tell their end.

Conclusion: the limit holds by a fixed share. VMs have unequal load, so a part of the limit stays unused.

--- a/src/balancing/admission.cpp
+++ b/src/balancing/admission.cpp
@@ -18,6 +18,8 @@
     {
         if (shard.hasCapacity)
             return shard.serviceTime;
+        if (shard.limitWait > base::Duration::zero())
+            return shard.limitWait + shard.serviceTime;
         const auto rounds
             = static_cast<base::Duration::rep>(shard.queuedAhead / std::max<std::size_t>(1, shard.connections) + 1);
         return shard.serviceTime * (rounds + 1);
--- a/src/balancing/admission.h
+++ b/src/balancing/admission.h
@@ -13,6 +13,7 @@
     std::size_t queuedAhead { 0 }; // queued sub-requests that would start earlier
     std::size_t connections { 1 }; // concurrent sub-requests from this VM, over all upstreams
     base::Duration serviceTime { 0 }; // current estimate for one sub-request
+    base::Duration limitWait { 0 }; // time until the limits that all upstreams have named allow one more sub-request
 
     bool operator==(const ShardLoad&) const = default;
 };
--- a/src/balancing/tests/admissiontests.cpp
+++ b/src/balancing/tests/admissiontests.cpp
@@ -79,3 +79,20 @@
     slow.serviceTime = milliseconds(400);
     cr_assert(admit(shards(1, slow), 1.0, milliseconds(112)).isAdmitted());
 }
+
+// Load pattern: all replicas of a shard name limits below the load, so queued sub-requests start one by one.
+Test(Admission, rejectsWhatNamedLimitsDoNotAllowInTime)
+{
+    ShardLoad free;
+    free.serviceTime = std::chrono::milliseconds(10);
+    ShardLoad limited = free;
+    limited.hasCapacity = false;
+    limited.limitWait = std::chrono::milliseconds(300);
+    const std::vector<ShardLoad> loads { free, limited };
+    const AdmissionDecision decision = admit(loads, 1, std::chrono::milliseconds(120));
+    cr_expect(decision.reason == AdmissionReason::TooLate);
+    cr_expect(decision.retryAfter >= std::chrono::milliseconds(190), "the limit allows nothing earlier");
+    cr_expect(decision.retryAfter <= std::chrono::milliseconds(220));
+    cr_expect(admit(loads, 0.5, std::chrono::milliseconds(120)).isAdmitted(), "one shard of two is enough");
+    cr_expect(admit(loads, 1, std::chrono::milliseconds(320)).isAdmitted(), "it is allowed before the goal");
+}
--- a/src/balancing/types.h
+++ b/src/balancing/types.h
@@ -3,6 +3,7 @@
 #include "base/types.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace flamingousher::balancing {
 
@@ -12,6 +13,13 @@
 // Identifies one attempt at an upstream within this process. Never reused.
 using AttemptId = std::uint64_t;
 
+// What an upstream says of itself in a response.
+struct UpstreamNotice {
+    std::optional<double> requestsPerSecond; // that it takes from all VMs together
+
+    bool operator==(const UpstreamNotice&) const = default;
+};
+
 // Reason for an attempt beyond a request's first.
 enum class ExtraAttempt : std::uint8_t {
     Retry, // the previous attempt failed
--- a/src/entry/internal/activerequest.cpp
+++ b/src/entry/internal/activerequest.cpp
@@ -135,7 +135,7 @@
 {
     const base::TimePoint now = state_.now();
     inFlight_.emplace(action.attempt, InFlightAttempt { action.upstream, action.shard, now });
-    state_.directory.selector().onSent(action.upstream, action.attempt, latency_.typical(), now);
+    state_.directory.onSent(action.upstream, action.attempt, latency_.typical());
     recordEvent(action.isExtra ? EventKind::Hedged : EventKind::Sent, action.shard, action.upstream);
     state_.directory.pool(action.upstream)
         .send({ action.attempt, outboundRequest_, spec_.deadline, spec_.isIdempotent,
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -37,8 +37,9 @@
     // of the service are much slower.
     constexpr base::Duration StandbyPenalty = std::chrono::milliseconds(30);
 
-    // Fraction of a sharded service's connections that is allotted to the VMs that run requests over many shards. The
-    // rest is for VMs that delegate these requests and have to run some of them themselves.
+    // Fraction of a sharded service's connections, and of the requests that its upstreams take, that is allotted to the
+    // VMs that run requests over many shards. The rest is for VMs that delegate these requests and have to run some of
+    // them themselves.
     constexpr double ExecutorFraction = 0.7;
 
     // Connections to each upstream of a sharded service from a VM that delegates.
@@ -77,7 +78,7 @@
     , log_(log)
     , now_(std::move(now))
     , maxVmsSeen_(settings.assumedVmCount)
-    , selector_({ [this](UpstreamId id) { return upstreams_[id].pool->hasCapacity(); },
+    , selector_({ [this](UpstreamId id) { return hasCapacity(id); },
           [this](UpstreamId id) { return upstreams_[id].pool->isReachable(); } })
 {
 }
@@ -128,7 +129,8 @@
     const ConnectionLimits limits = computeLimits(discovered.entry);
     const auto pool = std::make_shared<ConnectionPool>(
         io_, poolSettings(discovered.entry, limits), protocol_, poolHooks(id, discovered.entry.service));
-    upstreams_.push_back({ discovered, pool });
+    upstreams_.push_back({ discovered, pool, {} });
+    upstreams_[id].pacer.setShare(requestShare(discovered.entry.service));
     openPoolIds_.push_back(id);
     selector_.setUpstream(id, distance(discovered.entry, limits), discovered.warmUpUntil);
     if (discovered.entry.isDraining) {
@@ -167,9 +169,45 @@
                 { { "upstream", entry(id).id }, { "endpoint", entry(id).endpoint }, { "service", entry(id).service } });
             retire(id);
         },
+        [this, id](const balancing::UpstreamNotice& notice) { onNotice(id, notice); },
     };
 }
 
+bool Directory::hasCapacity(UpstreamId id) const
+{
+    return upstreams_[id].pool->hasCapacity() && upstreams_[id].pacer.allows(now_());
+}
+
+void Directory::onSent(UpstreamId id, AttemptId attempt, base::Duration typical)
+{
+    selector_.onSent(id, attempt, typical, now_());
+    upstreams_[id].pacer.onSent(now_());
+}
+
+void Directory::onNotice(UpstreamId id, const balancing::UpstreamNotice& notice)
+{
+    balancing::UpstreamPacer& pacer = upstreams_[id].pacer;
+    const bool wasLimited = pacer.rate().has_value();
+    pacer.onResponse(notice, now_());
+    if (wasLimited != pacer.rate().has_value())
+        log_.writeDecision("upstream_limit",
+            { { "upstream", entry(id).id }, { "service", entry(id).service },
+                { "limit_per_s", notice.requestsPerSecond.value_or(0) }, { "own_per_s", pacer.rate().value_or(0) } });
+}
+
+// Like the connections, what the upstreams of a sharded service take is divided among the VMs that run requests over
+// many shards, but for a part for the others.
+double Directory::requestShare(const std::string& service) const
+{
+    if (vms_.empty())
+        return 1.0 / static_cast<double>(settings_.assumedVmCount);
+    if (!isDelegationUsed() || !isSharded(service))
+        return 1.0 / static_cast<double>(vms_.size());
+    const auto executors = static_cast<double>(plan_.executors.size());
+    return plan_.isDelegating() ? (1 - ExecutorFraction) / (static_cast<double>(vms_.size()) - executors)
+                                : ExecutorFraction / executors;
+}
+
 balancing::ReplicaSelector::Distance Directory::distance(
     const discovery::UpstreamEntry& entry, const ConnectionLimits& limits) const
 {
@@ -297,6 +335,7 @@
             const ConnectionLimits limits = computeLimits(entry(id));
             upstreams_[id].pool->setSettings(poolSettings(entry(id), limits));
             selector_.setUpstream(id, distance(entry(id), limits), upstreams_[id].upstream.warmUpUntil);
+            upstreams_[id].pacer.setShare(requestShare(name));
             if (maxConnections_.contains(name))
                 upstreams_[id].pool->keepWarm();
         }
@@ -337,8 +376,10 @@
 
 balancing::ShardLoad Directory::load(const ServiceState& state, base::TimePoint goal, base::Duration typical) const
 {
-    balancing::ShardLoad load { false, false, state.queue.countAhead(goal, now_()), 0, typical };
+    balancing::ShardLoad load { false, false, state.queue.countAhead(goal, now_()), 0, typical, {} };
     base::Duration minLatency = base::Duration::max();
+    base::Duration minWait = base::Duration::max();
+    double rate = 0; // of the upstreams that named a limit
     for (UpstreamId id : state.upstreams) {
         const ConnectionPool& pool = *upstreams_[id].pool;
         if (!pool.isReachable())
@@ -346,10 +387,18 @@
         load.isUsable = true;
         load.connections += pool.settings().maxConnections;
         minLatency = std::min(minLatency, selector_.expectedLatency(id, typical, now_()));
-        load.hasCapacity = load.hasCapacity || pool.hasCapacity();
+        load.hasCapacity = load.hasCapacity || hasCapacity(id);
+        const balancing::UpstreamPacer& pacer = upstreams_[id].pacer;
+        minWait = std::min(minWait, pacer.waitTime(now_()));
+        rate += pacer.rate().value_or(0);
+    }
+    if (!load.isUsable)
+        return load;
+    load.serviceTime = minLatency;
+    if (minWait > base::Duration::zero()) {
+        const std::chrono::duration<double> queueTime(static_cast<double>(load.queuedAhead) / rate);
+        load.limitWait = minWait + std::chrono::ceil<base::Duration>(queueTime);
     }
-    if (load.isUsable)
-        load.serviceTime = minLatency;
     return load;
 }
 
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -3,6 +3,7 @@
 #include "balancing/admission.h"
 #include "balancing/replicaselector.h"
 #include "balancing/retrybudget.h"
+#include "balancing/upstreampacer.h"
 #include "balancing/waitqueue.h"
 #include "delegation/delegationplan.h"
 #include "discovery/types.h"
@@ -68,6 +69,9 @@
     std::shared_ptr<ServiceState> service(const std::string& name);
 
     balancing::ReplicaSelector& selector() { return selector_; }
+    // Records that an attempt is sent to the upstream.
+    void onSent(UpstreamId, AttemptId, base::Duration typical);
+
     upstreamclient::ConnectionPool& pool(UpstreamId id) { return *upstreams_[id].pool; }
     const discovery::UpstreamEntry& entry(UpstreamId id) const { return upstreams_[id].upstream.entry; }
 
@@ -87,6 +91,7 @@
     struct PooledUpstream {
         discovery::DiscoveredUpstream upstream;
         std::shared_ptr<upstreamclient::ConnectionPool> pool;
+        balancing::UpstreamPacer pacer;
         bool isRetired { false };
     };
 
@@ -117,6 +122,9 @@
     void updatePlan();
     upstreamclient::ConnectionPool::Hooks poolHooks(UpstreamId, const std::string& service);
     void refreshLimits();
+    bool hasCapacity(UpstreamId) const;
+    void onNotice(UpstreamId, const balancing::UpstreamNotice&);
+    double requestShare(const std::string& service) const;
 
     boost::asio::io_context& io_;
     EntrySettings settings_;
--- a/src/upstreamclient/connectionpool.h
+++ b/src/upstreamclient/connectionpool.h
@@ -26,6 +26,9 @@
 
         // Called when another process answers at the upstream's address.
         std::function<void()> onReplaced;
+
+        // Called with what the upstream says of itself in each response, also in one that is no longer needed.
+        std::function<void(const UpstreamNotice&)> onNotice;
     };
 
     ConnectionPool(boost::asio::io_context&, const PoolSettings&, const UpstreamProtocol&, Hooks);
--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -223,6 +223,8 @@
         isReusable = false;
         if (pool_->hooks_.onReplaced)
             pool_->hooks_.onReplaced();
+    } else if (pool_->hooks_.onNotice) {
+        pool_->hooks_.onNotice(reply.notice);
     }
     // Set before the callback, which may look for a free connection.
     if (!isReusable)
--- a/src/upstreamclient/types.h
+++ b/src/upstreamclient/types.h
@@ -15,6 +15,7 @@
 namespace flamingousher::upstreamclient {
 
 using balancing::AttemptId;
+using balancing::UpstreamNotice;
 
 // A caller's request as forwarded to upstreams, shared by all its attempts.
 struct OutboundRequest {
@@ -35,6 +36,7 @@
     ReplyKind kind { ReplyKind::Failure };
     std::string requestId; // of the answered request; empty when the response has none
     std::string stamp; // issued by the upstream as proof of this answer; may be empty
+    UpstreamNotice notice;
     std::optional<std::chrono::seconds> idleTimeout; // after which the upstream closes an idle connection
     http::Response response;
 };
