Test that an answer cut off at any byte is no success

Other operators' callers got a 200 with an empty or short body when a searcher stopped in the middle of its answer's head. It cannot happen here: a test cuts answers with a length, in chunks and without either at every byte; none of the cuts is taken for an answer.

--- a/src/upstreamclient/tests/connectionpooltests.cpp
+++ b/src/upstreamclient/tests/connectionpooltests.cpp
@@ -467,3 +467,30 @@
             }
         });
 }
+
+// Fault: an upstream stops in the middle of its answer and closes the connection in good order.
+Test(ConnectionPool, rejectsAnswersCutOffAtAnyByte)
+{
+    const std::string fields = "HTTP/1.1 200 OK\r\nId: a\r\nStamp: 1\r\n";
+    const std::vector<std::string> answers { fields + "Content-Length: 4\r\n\r\nbody",
+        fields + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", fields + "Connection: close\r\n\r\n" };
+    for (const std::string& answer : answers) {
+        std::size_t size = 0;
+        std::vector<std::size_t> accepted;
+        withServer(
+            [&answer, &size](RawConnection& connection) {
+                connection.readHead();
+                connection.write(answer.substr(0, size));
+                connection.close();
+            },
+            [&](Harness& harness) {
+                for (size = 0; size < answer.size(); ++size) {
+                    if (harness.sendAndWait("a").has_value())
+                        accepted.push_back(size);
+                }
+                cr_expect(harness.sendAndWait("a").has_value(), "the whole answer is accepted");
+            });
+        cr_expect(accepted.empty(), "accepted %zu cuts, the first after %zu of %zu bytes: %s", accepted.size(),
+            accepted.empty() ? 0 : accepted.front(), answer.size(), answer.c_str());
+    }
+}
