Refuse at once, in a planned stop, what may outlive the process

What callers of other systems saw: in a planned stop, requests that came late in the grace time were passed on, and cut at its end without an answer, among them requests that may not be repeated. It could happen here: a VM that stops took every request while any was in progress, and a balancer that uses all VMs of a zone goes on sending them.

Change: once the balancer has noticed, a VM takes only requests whose deadline is before the end of its process, until then those whose goal is. The others get 503, not run, at once, and the connection closes. A request that is taken meanwhile ends with an error before the process does.

Figures: Shutdown/refusesAtOnceWhatMayOutliveTheProcess fails before the change (200, one arrival at an upstream).

Open: a request that was in progress when the stop began, and whose deadline is after its end, is still cut. The product's own platform was not looked at.

--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -28,6 +28,9 @@
 
     constexpr std::chrono::milliseconds DrainCheckInterval { 20 };
 
+    // For the last answers of a planned stop to reach their callers.
+    constexpr std::chrono::milliseconds LastAnswerMargin { 100 };
+
     // When another VM announces a newer revision and the current source does not deliver it within this time, this VM
     // switches to the announcing VM as its source.
     constexpr std::chrono::milliseconds CatchUpTimeout { 300 };
@@ -314,9 +317,10 @@
     const base::TimePoint begin = std::chrono::steady_clock::now();
     const base::TimePoint deadline = begin + settings_.shutdownTime - ExitMargin;
     isStopping_ = true;
-    entry_.beginShutdown();
+    const base::TimePoint unlistedAt = std::min(begin + BalancerNoticeTime, deadline);
+    entry_.beginShutdown({ unlistedAt, deadline - LastAnswerMargin });
     log_.writeChange("stopping", { { "vm", settings_.name }, { "shutdown_ms", settings_.shutdownTime.count() } });
-    runtime::sleepFor(control_.io(), std::min<base::Duration>(BalancerNoticeTime, deadline - begin));
+    runtime::sleepFor(control_.io(), unlistedAt - begin);
     while (!entry_.isIdle() && std::chrono::steady_clock::now() < deadline)
         runtime::sleepFor(control_.io(), DrainCheckInterval);
     entry_.closeListener();
--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -50,7 +50,7 @@
         , server(io, makeServerLimits({}), guard([this](const http::Request& request, http::Exchange& exchange) {
             http::Response response = handler.handle(request, exchange);
             // Makes the caller send its next request to another VM.
-            if (shared.isStopping)
+            if (shared.shutdown)
                 response.keep_alive(false);
             return response;
         }))
@@ -164,9 +164,9 @@
     });
 }
 
-void EntryThread::beginShutdown()
+void EntryThread::beginShutdown(const ShutdownTimes& times)
 {
-    thread_.call([this] { state_->shared.isStopping = true; });
+    thread_.call([&] { state_->shared.shutdown = times; });
 }
 
 void EntryThread::closeListener()
--- a/src/entry/entrythread.h
+++ b/src/entry/entrythread.h
@@ -43,8 +43,9 @@
     // Applies a first view of the fleet, which is not complete: only delegates are chosen from it.
     void applyFirstMembers(std::vector<fleet::NodeInfo> vms, const fleet::NodeInfo& self);
 
-    // Closes each connection after its next response. New connections and requests are still accepted.
-    void beginShutdown();
+    // Closes each connection after its next response. New connections are still accepted, and requests that end before
+    // the process does; others are refused at once.
+    void beginShutdown(const ShutdownTimes&);
 
     // Stops accepting connections and closes idle ones.
     void closeListener();
--- a/src/entry/internal/entrystate.h
+++ b/src/entry/internal/entrystate.h
@@ -54,7 +54,7 @@
     WriteTimes writeTimes;
     base::Duration schedulingDelay { 0 }; // recent delay until a due task of this thread runs
     std::uint64_t lastId { 0 };
-    bool isStopping { false };
+    std::optional<ShutdownTimes> shutdown; // set once a planned stop has begun
 };
 
 } // namespace flamingousher::entry
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -95,8 +95,18 @@
         timeout = std::min<base::Duration>(timeout, *decoded->timeout);
     const AnswerTimes deadlines = computeAnswerTimes(
         now, { route->goal, timeout, state_.writeTimes.reserve() }, exchange.roundTrip, exchange.isFirst);
-    const RoutedRequest routed { request, *decoded, *route, now, deadlines.goal, deadlines.deadline, route->maxAttempts,
+    RoutedRequest routed { request, *decoded, *route, now, deadlines.goal, deadlines.deadline, route->maxAttempts,
         now };
+    if (state_.shutdown) {
+        if (!state_.shutdown->admits(now, routed.goal, routed.deadline)) {
+            return refuse(routed,
+                { ErrorCode::Draining, base::Step::Admission, {}, "this VM stops before the deadline",
+                    RunState::NotRun },
+                base::Duration::zero());
+        }
+        // An error at the end tells the caller more than a connection that closes.
+        routed.deadline = std::min(routed.deadline, state_.shutdown->endsAt);
+    }
     const bool isDelegated = route->isFanout() && route->isIdempotent && !state_.delegates.isEmpty();
     return isDelegated ? runDelegated(routed, routes, exchange) : run(routed, routes, exchange);
 }
@@ -147,7 +157,7 @@
 const char* RequestHandler::refusalOfDelegated(
     const routing::Route* route, std::uint64_t version, const http::Exchange& exchange) const
 {
-    if (state_.isStopping)
+    if (state_.shutdown)
         return "stopping";
     // An answer of another version could take the caller's VM back to an older configuration.
     if (!state_.routes || state_.routes->configuration().version != version)
--- a/src/entry/types.h
+++ b/src/entry/types.h
@@ -66,4 +66,19 @@
     bool operator==(const EntrySettings&) const = default;
 };
 
+// Times of a planned stop.
+struct ShutdownTimes {
+    base::TimePoint unlistedAt; // from then on the load balancer opens no connections to this VM
+    base::TimePoint endsAt; // the process ends, also with requests in progress
+
+    bool operator==(const ShutdownTimes&) const = default;
+
+    // Returns whether a request that arrives now is answered before the end. While the load balancer still sends its
+    // usual traffic, that is expected of requests that meet their goal; later the few that come must be certain.
+    bool admits(base::TimePoint now, base::TimePoint goal, base::TimePoint deadline) const
+    {
+        return (now < unlistedAt ? goal : deadline) <= endsAt;
+    }
+};
+
 } // namespace flamingousher::entry
