Send nothing to an upstream that says that it leaves

Fault: an upstream that leaves says so in its answers, and got new work for as long as the store listed it as ready (DRAIN). The field was not decoded.

Change: the first answer that says so retires the upstream, as the store's entry does. The process, by its id and start time, stays out for ten minutes, so that a lagging or repeated list does not bring it back. A new process under the same id is another upstream.

--- a/src/balancing/types.h
+++ b/src/balancing/types.h
@@ -16,6 +16,7 @@
 // What an upstream says of itself in a response.
 struct UpstreamNotice {
     std::optional<double> requestsPerSecond; // that it takes from all VMs together
+    bool isLeaving { false }; // it is about to stop
 
     bool operator==(const UpstreamNotice&) const = default;
 };
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -48,6 +48,9 @@
     // Restarts of delegated requests per retry window and VM. Each one costs an extra attempt at every shard.
     constexpr double RestartsPerVm = 1;
 
+    // A store that lags may list an upstream long after it has said that it leaves.
+    constexpr base::Duration LeftRetention = std::chrono::minutes(10);
+
     constexpr std::uint32_t DefaultMaxConnections = 24; // for services missing from the configuration
 
     // Connections per upstream that are not allocated, for VMs that join or are being replaced.
@@ -133,7 +136,7 @@
     upstreams_[id].pacer.setShare(requestShare(discovered.entry.service));
     openPoolIds_.push_back(id);
     selector_.setUpstream(id, distance(discovered.entry, limits), discovered.warmUpUntil);
-    if (discovered.entry.isDraining) {
+    if (discovered.entry.isDraining || hasLeft(discovered.entry)) {
         retire(id);
         return id;
     }
@@ -186,6 +189,8 @@
 
 void Directory::onNotice(UpstreamId id, const balancing::UpstreamNotice& notice)
 {
+    if (notice.isLeaving && !upstreams_[id].isRetired)
+        onLeaving(id);
     balancing::UpstreamPacer& pacer = upstreams_[id].pacer;
     const bool wasLimited = pacer.rate().has_value();
     pacer.onResponse(notice, now_());
@@ -195,6 +200,14 @@
                 { "limit_per_s", notice.requestsPerSecond.value_or(0) }, { "own_per_s", pacer.rate().value_or(0) } });
 }
 
+void Directory::onLeaving(UpstreamId id)
+{
+    log_.writeDecision("upstream_leaving", { { "upstream", entry(id).id }, { "service", entry(id).service } });
+    std::erase_if(left_, [&](const auto& left) { return left.second + LeftRetention < now_(); });
+    left_[{ entry(id).id, entry(id).startedAt }] = now_();
+    retire(id);
+}
+
 // Like the connections, what the upstreams of a sharded service take is divided among the VMs that run requests over
 // many shards, but for a part for the others.
 double Directory::requestShare(const std::string& service) const
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -124,6 +124,8 @@
     void refreshLimits();
     bool hasCapacity(UpstreamId) const;
     void onNotice(UpstreamId, const balancing::UpstreamNotice&);
+    void onLeaving(UpstreamId);
+    bool hasLeft(const discovery::UpstreamEntry& entry) const { return left_.contains({ entry.id, entry.startedAt }); }
     double requestShare(const std::string& service) const;
 
     boost::asio::io_context& io_;
@@ -140,6 +142,10 @@
     std::size_t maxVmsSeen_; // max fleet size so far: extra attempts of VMs that have left still count
     std::vector<PooledUpstream> upstreams_; // by UpstreamId; identifiers are not reused
     std::vector<UpstreamId> openPoolIds_; // pools to sweep: all but retired ones without connections
+
+    // Upstream processes, by identifier and start time, that have said that they leave, with the time at which they
+    // did.
+    std::map<std::pair<std::string, std::int64_t>, base::TimePoint> left_;
     std::map<std::string, UpstreamId> published_; // by the identifier in the published entry
     std::map<std::string, std::shared_ptr<ServiceState>> services_;
     std::map<std::string, std::uint32_t> maxConnections_; // per upstream, by service
