Leave an upstream alone until the time that it names in a refusal

Fault: an upstream that turns a request away with 503 may add Retry-After, and then wants nothing from this VM for so long. It got requests at the usual rate, since a refusal only raised its failure rate for 2 s (BUDGET).

Change: UpstreamPacer keeps the latest such time, 60 s at most, as a damaged field must not end the use for good. Until then the upstream counts as one that cannot be reached. When too few shards have a usable upstream, the caller is told when enough will, in place of 0.5 s.

--- a/src/balancing/admission.cpp
+++ b/src/balancing/admission.cpp
@@ -11,7 +11,7 @@
     // A retry after less time would find the same queue.
     constexpr base::Duration MinRetryAfter = std::chrono::milliseconds(20);
 
-    // Delay when too few upstreams are usable: about the time until one is discovered or recovers.
+    // Delay for a shard without a usable upstream: about the time until one is discovered or recovers.
     constexpr base::Duration RetryAfterUnusable = std::chrono::milliseconds(500);
 
     base::Duration expectedLatency(const ShardLoad& shard)
@@ -30,6 +30,18 @@
         return std::ranges::max(shards, {}, &ShardLoad::serviceTime).serviceTime;
     }
 
+    // Returns the time until enough of the unusable shards are usable.
+    base::Duration timeUntilUsable(std::span<const ShardLoad> shards, std::size_t missingShards)
+    {
+        std::vector<base::Duration> times;
+        for (const ShardLoad& shard : shards) {
+            if (!shard.isUsable)
+                times.push_back(shard.usableIn > base::Duration::zero() ? shard.usableIn : RetryAfterUnusable);
+        }
+        std::ranges::nth_element(times, times.begin() + static_cast<std::ptrdiff_t>(missingShards - 1));
+        return times[missingShards - 1];
+    }
+
 } // namespace
 
 AdmissionDecision admit(std::span<const ShardLoad> shards, double minCoverage, base::Duration timeToGoal)
@@ -42,8 +54,10 @@
     }
     const auto requiredShards = std::max<std::size_t>(
         1, static_cast<std::size_t>(std::ceil(minCoverage * static_cast<double>(shards.size()) - 1e-9)));
-    if (latencies.size() < requiredShards)
-        return { AdmissionReason::TooFewUsable, RetryAfterUnusable, RetryAfterUnusable };
+    if (latencies.size() < requiredShards) {
+        const base::Duration wait = timeUntilUsable(shards, requiredShards - latencies.size());
+        return { AdmissionReason::TooFewUsable, wait, wait };
+    }
     std::ranges::nth_element(latencies, latencies.begin() + static_cast<std::ptrdiff_t>(requiredShards - 1));
     const base::Duration expected = latencies[requiredShards - 1];
     if (expected <= timeToGoal)
--- a/src/balancing/admission.h
+++ b/src/balancing/admission.h
@@ -14,6 +14,7 @@
     std::size_t connections { 1 }; // concurrent sub-requests from this VM, over all upstreams
     base::Duration serviceTime { 0 }; // current estimate for one sub-request
     base::Duration limitWait { 0 }; // time until the limits that all upstreams have named allow one more sub-request
+    base::Duration usableIn { 0 }; // time until an upstream accepts new work, if none does now; 0 if unknown
 
     bool operator==(const ShardLoad&) const = default;
 };
--- a/src/balancing/tests/admissiontests.cpp
+++ b/src/balancing/tests/admissiontests.cpp
@@ -96,3 +96,18 @@
     cr_expect(admit(loads, 0.5, std::chrono::milliseconds(120)).isAdmitted(), "one shard of two is enough");
     cr_expect(admit(loads, 1, std::chrono::milliseconds(320)).isAdmitted(), "it is allowed before the goal");
 }
+
+// Load pattern: all replicas of some shards turn requests away until a time that they name.
+Test(Admission, tellsWhenEnoughUpstreamsAcceptWorkAgain)
+{
+    auto loads = shards(10, Free);
+    loads[1] = { .isUsable = false, .usableIn = milliseconds(3'000) };
+    loads[2] = { .isUsable = false, .usableIn = milliseconds(700) };
+    loads[3] = { .isUsable = false, .usableIn = milliseconds(1'200) };
+    const AdmissionDecision decision = admit(loads, 0.89, milliseconds(112));
+    cr_expect(decision.reason == AdmissionReason::TooFewUsable);
+    cr_expect(decision.retryAfter == milliseconds(1'200), "then nine of ten shards accept work");
+    cr_expect(admit(loads, 0.7, milliseconds(112)).isAdmitted());
+    loads[3].usableIn = milliseconds(0);
+    cr_expect(admit(loads, 0.89, milliseconds(112)).retryAfter == milliseconds(700), "another one may be found");
+}
--- a/src/balancing/tests/upstreampacertests.cpp
+++ b/src/balancing/tests/upstreampacertests.cpp
@@ -102,3 +102,15 @@
     cr_expect_geq(sendAll(pacer, Start, std::chrono::seconds(10)), 5, "otherwise the end of the limit is never learnt");
     cr_expect(pacer.waitTime(Start + std::chrono::seconds(10)) < std::chrono::seconds(3));
 }
+
+Test(UpstreamPacer, pausesUntilTheLatestTimeThatTheUpstreamNamed)
+{
+    UpstreamPacer pacer;
+    pacer.onResponse({ .pause = std::chrono::seconds(3) }, Start);
+    pacer.onResponse({ .pause = std::chrono::milliseconds(500) }, Start + std::chrono::seconds(1));
+    pacer.onResponse({}, Start + std::chrono::seconds(2));
+    cr_expect(pacer.isPaused(Start + std::chrono::milliseconds(2'999)));
+    cr_expect(!pacer.isPaused(Start + std::chrono::seconds(3)));
+    pacer.onResponse({ .pause = std::chrono::duration<double>(1e300) }, Start + std::chrono::seconds(4));
+    cr_expect(!pacer.isPaused(Start + std::chrono::minutes(2)), "a damaged field does not end the use for good");
+}
--- a/src/balancing/types.h
+++ b/src/balancing/types.h
@@ -17,6 +17,7 @@
 struct UpstreamNotice {
     std::optional<double> requestsPerSecond; // that it takes from all VMs together
     bool isLeaving { false }; // it is about to stop
+    std::chrono::duration<double> pause { 0 }; // for this long it wants no requests from this VM
 
     bool operator==(const UpstreamNotice&) const = default;
 };
--- a/src/balancing/upstreampacer.cpp
+++ b/src/balancing/upstreampacer.cpp
@@ -12,10 +12,14 @@
     // Over all VMs together. Without any request the VMs would not learn that the limit has ended.
     constexpr double MinRequestsPerSecond = 0.5;
 
+    // A damaged field must not keep an upstream out of use for good.
+    constexpr std::chrono::duration<double> MaxPause = std::chrono::seconds(60);
+
 } // namespace
 
 void UpstreamPacer::onResponse(const UpstreamNotice& notice, base::TimePoint now)
 {
+    pausedUntil_ = std::max(pausedUntil_, now + std::chrono::ceil<base::Duration>(std::min(notice.pause, MaxPause)));
     if (requestsPerSecond_ == notice.requestsPerSecond)
         return;
     const bool wasLimited = requestsPerSecond_.has_value();
--- a/src/balancing/upstreampacer.h
+++ b/src/balancing/upstreampacer.h
@@ -6,7 +6,8 @@
 
 namespace flamingousher::balancing {
 
-// Keeps the requests of this VM to one upstream within the limit that the upstream names.
+// Keeps the requests of this VM to one upstream within the limit that the upstream names, and pauses them when it asks
+// for that.
 // Load pattern: some replicas of many shards name a limit below their usual load for seconds, while the others take the
 // rest. The limit counts for all VMs together, which cannot ask each other for each request, so each uses a fixed
 // share.
@@ -18,11 +19,15 @@
     // Called for each response of the upstream. Without a limit in it, an earlier one no longer holds.
     void onResponse(const UpstreamNotice&, base::TimePoint now);
 
-    // Returns whether one more request may be sent.
+    // Returns whether the upstream wants no requests from this VM now.
+    bool isPaused(base::TimePoint now) const { return now < pausedUntil_; }
+    base::TimePoint pausedUntil() const { return pausedUntil_; }
+
+    // Returns whether the limit allows one more request.
     bool allows(base::TimePoint now) const;
     void onSent(base::TimePoint now);
 
-    // Returns the time until one more request may be sent.
+    // Returns the time until the limit allows one more request.
     base::Duration waitTime(base::TimePoint now) const;
 
     // Returns the requests per second of this VM, or nothing without a limit.
@@ -36,6 +41,7 @@
     std::optional<double> requestsPerSecond_; // of all VMs together
     double tokens_ { 0 };
     base::TimePoint tokensAt_;
+    base::TimePoint pausedUntil_;
 };
 
 } // namespace flamingousher::balancing
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -81,8 +81,8 @@
     , log_(log)
     , now_(std::move(now))
     , maxVmsSeen_(settings.assumedVmCount)
-    , selector_({ [this](UpstreamId id) { return hasCapacity(id); },
-          [this](UpstreamId id) { return upstreams_[id].pool->isReachable(); } })
+    , selector_(
+          { [this](UpstreamId id) { return hasCapacity(id); }, [this](UpstreamId id) { return isReachable(id); } })
 {
 }
 
@@ -181,6 +181,11 @@
     return upstreams_[id].pool->hasCapacity() && upstreams_[id].pacer.allows(now_());
 }
 
+bool Directory::isReachable(UpstreamId id) const
+{
+    return upstreams_[id].pool->isReachable() && !upstreams_[id].pacer.isPaused(now_());
+}
+
 void Directory::onSent(UpstreamId id, AttemptId attempt, base::Duration typical)
 {
     selector_.onSent(id, attempt, typical, now_());
@@ -389,24 +394,30 @@
 
 balancing::ShardLoad Directory::load(const ServiceState& state, base::TimePoint goal, base::Duration typical) const
 {
-    balancing::ShardLoad load { false, false, state.queue.countAhead(goal, now_()), 0, typical, {} };
+    balancing::ShardLoad load { false, false, state.queue.countAhead(goal, now_()), 0, typical, {}, {} };
+    base::TimePoint usableAt = base::TimePoint::max();
     base::Duration minLatency = base::Duration::max();
     base::Duration minWait = base::Duration::max();
     double rate = 0; // of the upstreams that named a limit
     for (UpstreamId id : state.upstreams) {
         const ConnectionPool& pool = *upstreams_[id].pool;
-        if (!pool.isReachable())
+        const balancing::UpstreamPacer& pacer = upstreams_[id].pacer;
+        if (pacer.isPaused(now_()))
+            usableAt = std::min(usableAt, pacer.pausedUntil());
+        if (!isReachable(id))
             continue;
         load.isUsable = true;
         load.connections += pool.settings().maxConnections;
         minLatency = std::min(minLatency, selector_.expectedLatency(id, typical, now_()));
         load.hasCapacity = load.hasCapacity || hasCapacity(id);
-        const balancing::UpstreamPacer& pacer = upstreams_[id].pacer;
         minWait = std::min(minWait, pacer.waitTime(now_()));
         rate += pacer.rate().value_or(0);
     }
-    if (!load.isUsable)
+    if (!load.isUsable) {
+        if (usableAt != base::TimePoint::max())
+            load.usableIn = usableAt - now_();
         return load;
+    }
     load.serviceTime = minLatency;
     if (minWait > base::Duration::zero()) {
         const std::chrono::duration<double> queueTime(static_cast<double>(load.queuedAhead) / rate);
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -123,6 +123,7 @@
     upstreamclient::ConnectionPool::Hooks poolHooks(UpstreamId, const std::string& service);
     void refreshLimits();
     bool hasCapacity(UpstreamId) const;
+    bool isReachable(UpstreamId) const;
     void onNotice(UpstreamId, const balancing::UpstreamNotice&);
     void onLeaving(UpstreamId);
     bool hasLeft(const discovery::UpstreamEntry& entry) const { return left_.contains({ entry.id, entry.startedAt }); }
