Answer the requests that are still in progress at the end of a planned stop

Change: 0.1 s before the process ends, the requests that it still runs end as their deadline would end them: with what the minimum coverage allows, else with 504, or 503 where nothing has run.

--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -317,15 +317,20 @@
     const base::TimePoint begin = std::chrono::steady_clock::now();
     const base::TimePoint deadline = begin + settings_.shutdownTime - ExitMargin;
     isStopping_ = true;
-    const base::TimePoint unlistedAt = std::min(begin + BalancerNoticeTime, deadline);
-    entry_.beginShutdown({ unlistedAt, deadline - LastAnswerMargin });
+    const base::TimePoint lastAnswersAt = deadline - LastAnswerMargin;
+    const base::TimePoint unlistedAt = std::min(begin + BalancerNoticeTime, lastAnswersAt);
+    const auto awaitIdle = [this](base::TimePoint until) {
+        while (!entry_.isIdle() && std::chrono::steady_clock::now() < until)
+            runtime::sleepFor(control_.io(), DrainCheckInterval);
+    };
+    entry_.beginShutdown({ unlistedAt, lastAnswersAt });
     log_.writeChange("stopping", { { "vm", settings_.name }, { "shutdown_ms", settings_.shutdownTime.count() } });
     runtime::sleepFor(control_.io(), unlistedAt - begin);
-    while (!entry_.isIdle() && std::chrono::steady_clock::now() < deadline)
-        runtime::sleepFor(control_.io(), DrainCheckInterval);
+    awaitIdle(lastAnswersAt);
     entry_.closeListener();
-    while (!entry_.isIdle() && std::chrono::steady_clock::now() < deadline)
-        runtime::sleepFor(control_.io(), DrainCheckInterval);
+    awaitIdle(lastAnswersAt);
+    entry_.endRequests(); // an error tells their callers more than a connection that closes
+    awaitIdle(deadline);
     fleet_->leave();
     const bool isClean = entry_.isIdle();
     log_.writeChange("stopped",
--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -177,6 +177,14 @@
     });
 }
 
+void EntryThread::endRequests()
+{
+    thread_.call([this] {
+        for (ActiveRequest* request : std::set(state_->shared.activeRequests))
+            request->expire();
+    });
+}
+
 bool EntryThread::isIdle()
 {
     return thread_.call([this] { return state_->server.isIdle() && state_->delegationServer.isIdle(); });
--- a/src/entry/entrythread.h
+++ b/src/entry/entrythread.h
@@ -50,6 +50,9 @@
     // Stops accepting connections and closes idle ones.
     void closeListener();
 
+    // Ends the requests that this VM still runs. Their callers get an error.
+    void endRequests();
+
     // Returns whether no request of a caller is in progress.
     bool isIdle();
 
--- a/src/entry/internal/activerequest.cpp
+++ b/src/entry/internal/activerequest.cpp
@@ -55,7 +55,9 @@
     if (!outcome_) {
         armTimer();
         isFiberWaiting_ = true;
+        state_.activeRequests.insert(this);
         finished_.wait();
+        state_.activeRequests.erase(this);
     }
     timer_.cancel();
     return *std::move(outcome_);
@@ -67,6 +69,12 @@
         apply(query_.abandon(state_.now()));
 }
 
+void ActiveRequest::expire()
+{
+    if (!outcome_)
+        apply(query_.onTimer(spec_.deadline));
+}
+
 std::vector<UpstreamReply> ActiveRequest::takeReplies()
 {
     std::vector<UpstreamReply> result;
--- a/src/entry/internal/activerequest.h
+++ b/src/entry/internal/activerequest.h
@@ -36,6 +36,9 @@
     // Called when the caller has disconnected.
     void abandon();
 
+    // Finishes the request as its deadline would.
+    void expire();
+
     // Moves out the successful replies, in the order of the shards.
     std::vector<upstreamclient::UpstreamReply> takeReplies();
 
--- a/src/entry/internal/entrystate.h
+++ b/src/entry/internal/entrystate.h
@@ -14,10 +14,13 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace flamingousher::entry {
 
+class ActiveRequest;
+
 // State shared by all requests of the entry thread. Used on that thread only.
 struct EntryState {
     EntryState(boost::asio::io_context&, const EntrySettings&, const CallerProtocol&,
@@ -54,6 +57,7 @@
     WriteTimes writeTimes;
     base::Duration schedulingDelay { 0 }; // recent delay until a due task of this thread runs
     std::uint64_t lastId { 0 };
+    std::set<ActiveRequest*> activeRequests; // that wait for their outcome
     std::optional<ShutdownTimes> shutdown; // set once a planned stop has begun
 };
 
