--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -201,6 +201,8 @@
                 { "service", shared.directory.entry(id).service }, { "endpoint", shared.directory.entry(id).endpoint },
                 { "draining", shared.directory.entry(id).isDraining }, { "connections", pool.connectionCount() },
                 { "reachable", pool.isReachable() }, { "room", pool.hasCapacity() },
+                { "paused", shared.directory.pacer(id).isPaused(shared.now()) },
+                { "limit_per_s", shared.directory.pacer(id).rate().value_or(0) },
                 { "in_flight", shared.directory.selector().inFlight(id) },
                 { "slowness", shared.directory.selector().slowness(id, shared.now()) },
                 { "failure_rate", shared.directory.selector().failureRate(id, shared.now()) } });
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -198,7 +198,12 @@
         onLeaving(id);
     balancing::UpstreamPacer& pacer = upstreams_[id].pacer;
     const bool wasLimited = pacer.rate().has_value();
+    const bool wasPaused = pacer.isPaused(now_());
     pacer.onResponse(notice, now_());
+    if (!wasPaused && pacer.isPaused(now_()))
+        log_.writeDecision("upstream_paused",
+            { { "upstream", entry(id).id }, { "service", entry(id).service },
+                { "pause_ms", eventlog::milliseconds(pacer.pausedUntil() - now_()) } });
     if (wasLimited != pacer.rate().has_value())
         log_.writeDecision("upstream_limit",
             { { "upstream", entry(id).id }, { "service", entry(id).service },
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -73,6 +73,7 @@
     void onSent(UpstreamId, AttemptId, base::Duration typical);
 
     upstreamclient::ConnectionPool& pool(UpstreamId id) { return *upstreams_[id].pool; }
+    const balancing::UpstreamPacer& pacer(UpstreamId id) const { return upstreams_[id].pacer; }
     const discovery::UpstreamEntry& entry(UpstreamId id) const { return upstreams_[id].upstream.entry; }
 
     // Queues a sub-request until an upstream has capacity. Returns the key for removeWaiting().
--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -216,8 +216,6 @@
     ++responseCount_;
     pool_->onAnswered();
     ++pool_->counters_.answered;
-    // Bytes after a complete response belong to no request.
-    isReusable = isReusable && buffer_.size() == 0 && !pool_->isRetired_;
     idleTimeout_ = reply.idleTimeout;
     if (reply.kind == ReplyKind::WrongUpstream) {
         isReusable = false;
@@ -226,6 +224,8 @@
     } else if (pool_->hooks_.onNotice) {
         pool_->hooks_.onNotice(reply.notice);
     }
+    // Bytes after a complete response belong to no request.
+    isReusable = isReusable && buffer_.size() == 0 && !pool_->isRetired_;
     // Set before the callback, which may look for a free connection.
     if (!isReusable)
         isClosing_ = true;
