--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -329,7 +329,7 @@
     awaitIdle(lastAnswersAt);
     entry_.closeListener();
     awaitIdle(lastAnswersAt);
-    entry_.endRequests(); // an error tells their callers more than a connection that closes
+    entry_.endRequests(); // even an error tells their callers more than a connection that closes
     awaitIdle(deadline);
     fleet_->leave();
     const bool isClean = entry_.isIdle();
--- a/src/entry/entrythread.h
+++ b/src/entry/entrythread.h
@@ -50,7 +50,7 @@
     // Stops accepting connections and closes idle ones.
     void closeListener();
 
-    // Ends the requests that this VM still runs. Their callers get an error.
+    // Ends the requests that this VM still runs, as their deadlines would. Their callers get an answer, most an error.
     void endRequests();
 
     // Returns whether no request of a caller is in progress.
