--- a/bench/capacity/main.cpp
+++ b/bench/capacity/main.cpp
@@ -74,7 +74,7 @@
             members_.push_back(std::make_unique<fleet::Membership>(info, fleet::MembershipSettings {},
                 fleet::Membership::Hooks { [this] { return random_(); }, [] {},
                     [](const fleet::NodeInfo&, const fleet::ConfigurationId&) {},
-                    [](const fleet::CrashEvidence&) {} }));
+                    [](const quarantine::CrashRecord&, base::TimePoint) {} }));
         }
         for (const auto& member : members_)
             member->setSeeds(endpoints);
--- a/src/control/fleetcontroller.cpp
+++ b/src/control/fleetcontroller.cpp
@@ -79,7 +79,7 @@
         [this] { return random_(); },
         [this] { isConfigurationChanged_ = true; },
         [this] { isOwnershipChanged_ = true; },
-        [this](const fleet::CrashEvidence& evidence) { hooks_.onCrash(evidence); },
+        [this](const quarantine::CrashRecord& record, base::TimePoint changedAt) { hooks_.onCrash(record, changedAt); },
         [this](const std::string& upstream) { return closing_.contains(upstream); },
     };
 }
@@ -176,9 +176,9 @@
     }
 }
 
-void FleetController::reportCrash(const fleet::CrashEvidence& evidence)
+void FleetController::reportCrash(const quarantine::CrashRecord& record)
 {
-    callCore([&](base::TimePoint) { return core_.reportCrash(evidence); });
+    callCore([&](base::TimePoint now) { return core_.reportCrash(record, now); });
 }
 
 bool FleetController::isReadyToServe() const
--- a/src/control/fleetcontroller.h
+++ b/src/control/fleetcontroller.h
@@ -29,7 +29,7 @@
 
         // Returns the upstreams that this VM no longer serves but that still have requests in flight.
         std::function<std::set<std::string>()> closingUpstreams;
-        std::function<void(const fleet::CrashEvidence&)> onCrash;
+        std::function<void(const quarantine::CrashRecord&, base::TimePoint changedAt)> onCrash;
     };
 
     FleetController(boost::asio::io_context&, const settings::DaemonSettings&, const peers::PeerIdentity&, Hooks);
@@ -42,7 +42,7 @@
     // Hands over all owned upstreams by repeated leave notices. Returns after the last one.
     void leave();
 
-    void reportCrash(const fleet::CrashEvidence&);
+    void reportCrash(const quarantine::CrashRecord&);
 
     bool isReadyToServe() const;
     const fleet::FleetCore& core() const { return core_; }
--- a/src/control/fleetmember.cpp
+++ b/src/control/fleetmember.cpp
@@ -11,8 +11,8 @@
 
     constexpr std::chrono::milliseconds TickInterval { 100 };
 
-    // VMs to which a new revision is sent immediately; each of them forwards it to as many.
-    constexpr std::size_t RevisionFanOut = 3;
+    // VMs to which a new revision, or news of a crash, is sent immediately; each of them forwards it to as many.
+    constexpr std::size_t NewsFanOut = 3;
 
     // While members change, as when a whole fleet starts: VMs gossiped to on each tick, and member updates per message.
     // The updates fit one packet.
@@ -52,18 +52,12 @@
               [this](const fleet::NodeInfo& from, const fleet::ConfigurationId& id) {
                   hooks_.onRevision(from, id.revision);
               },
-              [](const fleet::CrashEvidence&) {} })
+              [this](const quarantine::CrashRecord& record, base::TimePoint changedAt) {
+                  hasCrashNews_ = true;
+                  hooks_.onCrash(record, changedAt);
+              } })
     , transport_(
-          io, identity,
-          [this](const fleet::FleetMessage& message) {
-              // The other messages are used only in fleets where upstreams have owners.
-              if (const auto* ping = std::get_if<fleet::Ping>(&message))
-                  send(membership_.receive(*ping, now()));
-              else if (const auto* ack = std::get_if<fleet::Ack>(&message))
-                  send(membership_.receive(*ack, now()));
-              else if (const auto* request = std::get_if<fleet::PingRequest>(&message))
-                  send(membership_.receive(*request, now()));
-          },
+          io, identity, [this](const fleet::FleetMessage& message) { onMessage(message); },
           [this] { return random_(); })
 {
 }
@@ -85,6 +79,19 @@
     }
 }
 
+// The messages that are left out are used only in fleets where upstreams have owners.
+void FleetMember::onMessage(const fleet::FleetMessage& message)
+{
+    if (const auto* ping = std::get_if<fleet::Ping>(&message))
+        send(membership_.receive(*ping, now()));
+    else if (const auto* ack = std::get_if<fleet::Ack>(&message))
+        send(membership_.receive(*ack, now()));
+    else if (const auto* request = std::get_if<fleet::PingRequest>(&message))
+        send(membership_.receive(*request, now()));
+    if (std::exchange(hasCrashNews_, false))
+        send(membership_.gossipNow(NewsFanOut));
+}
+
 // Suspicions come and go all the time in a large fleet and leave the members as they are. Nodes under suspicion are
 // pinged anyway, so only members that come or go are worth gossip beyond the usual.
 void FleetMember::onMembershipChange()
@@ -132,7 +139,15 @@
     revision_ = revision;
     membership_.setConfiguration({ revision, 0 });
     if (immediate)
-        send(membership_.gossipNow(RevisionFanOut));
+        send(membership_.gossipNow(NewsFanOut));
+}
+
+// A request that crashes upstreams may come again at any VM within milliseconds.
+void FleetMember::reportCrash(const quarantine::CrashRecord& record)
+{
+    membership_.reportCrash(record, now());
+    hasCrashNews_ = false;
+    send(membership_.gossipNow(NewsFanOut));
 }
 
 void FleetMember::leave()
--- a/src/control/fleetmember.h
+++ b/src/control/fleetmember.h
@@ -26,6 +26,9 @@
 
         // Called when another VM reports the store revision that it holds.
         std::function<void(const fleet::NodeInfo& from, std::uint64_t revision)> onRevision;
+
+        // Called when another VM knows more of a request that crashes upstreams.
+        std::function<void(const quarantine::CrashRecord&, base::TimePoint changedAt)> onCrash;
     };
 
     FleetMember(boost::asio::io_context&, const peers::PeerIdentity&, Hooks);
@@ -40,6 +43,9 @@
     // Sets the store revision that this VM holds; with immediate also gossips it to a few VMs at once.
     void setRevision(std::uint64_t, bool immediate);
 
+    // Tells the other VMs of a request that crashes upstreams, a few of them at once.
+    void reportCrash(const quarantine::CrashRecord&);
+
     // Announces to the other VMs that this VM is shutting down.
     void leave();
 
@@ -51,6 +57,7 @@
 private:
     void send(const std::vector<fleet::Outgoing>&);
     void onMembershipChange();
+    void onMessage(const fleet::FleetMessage&);
     void reportMembers();
 
     boost::asio::io_context& io_;
@@ -61,6 +68,7 @@
     std::uint64_t revision_ { 0 };
     std::uint64_t upChangeCount_ { 0 };
     bool haveMembersChanged_ { false };
+    bool hasCrashNews_ { false }; // received and not passed on yet
     bool hasReported_ { false };
     base::TimePoint nextFirstReport_;
     base::TimePoint changedAt_; // last change of the members
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -33,8 +33,8 @@
 {
     for (std::uint32_t index = 0; index < settings_.trafficThreads; ++index)
         traffic_.push_back(std::make_unique<traffic::TrafficThread>(
-            settings_, identity_, index, [this](const fleet::CrashEvidence& evidence) {
-                control_.post([this, evidence] { fleet_->reportCrash(evidence); });
+            settings_, identity_, index, [this](const quarantine::CrashRecord& record) {
+                control_.post([this, record] { fleet_->reportCrash(record); });
             }));
 }
 
@@ -71,9 +71,9 @@
         },
         [this](const control::FleetController& fleet) { applyOwnership(fleet); },
         [this] { return closingUpstreams(); },
-        [this](const fleet::CrashEvidence& evidence) {
+        [this](const quarantine::CrashRecord& record, base::TimePoint changedAt) {
             for (const auto& thread : traffic_)
-                thread->addCrashEvidence(evidence);
+                thread->mergeCrashRecord(record, changedAt);
         },
     };
 }
--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -64,7 +64,10 @@
     , writeLog_(eventlog::makeStandardOutputWriter())
     , control_("control")
     , log_({}, { [] { return std::chrono::steady_clock::now(); }, writeLog_ })
-    , entry_(makeEntrySettings(settings_), platform::makeCallerProtocol(), platform::makeUpstreamProtocol(), writeLog_)
+    , entry_(makeEntrySettings(settings_), platform::makeCallerProtocol(), platform::makeUpstreamProtocol(), writeLog_,
+          [this](const quarantine::CrashRecord& record) {
+              control_.post([this, record] { fleet_->reportCrash(record); });
+          })
     , identity_(makeIdentity(makeNode(settings_), settings_.peerKey))
     , sources_(http::toString(settings_.store))
     , signals_(control_.io(), SIGTERM, SIGINT, SIGHUP)
@@ -166,6 +169,9 @@
         [this](const std::vector<fleet::NodeInfo>& vms) { onFleetView(vms); },
         [this](const std::vector<fleet::NodeInfo>& vms) { entry_.applyFirstMembers(vms, fleet_->self()); },
         [this](const fleet::NodeInfo& from, std::uint64_t revision) { onPeerRevision(from, revision); },
+        [this](const quarantine::CrashRecord& record, base::TimePoint changedAt) {
+            entry_.mergeCrashRecord(record, changedAt);
+        },
     };
 }
 
--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -44,8 +44,9 @@
 
 struct EntryThread::State {
     State(boost::asio::io_context& io, const EntrySettings& settings, const CallerProtocol& callers,
-        const upstreamclient::UpstreamProtocol& upstreams, std::function<void(const std::string&)> writeLog)
-        : shared(io, settings, callers, upstreams, std::move(writeLog))
+        const upstreamclient::UpstreamProtocol& upstreams, std::function<void(const std::string&)> writeLog,
+        std::function<void(const quarantine::CrashRecord&)> reportCrash)
+        : shared(io, settings, callers, upstreams, std::move(writeLog), std::move(reportCrash))
         , handler(shared)
         , server(io, makeServerLimits({}), guard([this](const http::Request& request, http::Exchange& exchange) {
             http::Response response = handler.handle(request, exchange);
@@ -81,11 +82,14 @@
 };
 
 EntryThread::EntryThread(const EntrySettings& settings, const CallerProtocol& callers,
-    const upstreamclient::UpstreamProtocol& upstreams, std::function<void(const std::string&)> writeLog)
+    const upstreamclient::UpstreamProtocol& upstreams, std::function<void(const std::string&)> writeLog,
+    std::function<void(const quarantine::CrashRecord&)> reportCrash)
     : thread_("entry")
     , settings_(settings)
-    , state_(thread_.call(
-          [&] { return std::make_unique<State>(thread_.io(), settings, callers, upstreams, std::move(writeLog)); }))
+    , state_(thread_.call([&] {
+        return std::make_unique<State>(
+            thread_.io(), settings, callers, upstreams, std::move(writeLog), std::move(reportCrash));
+    }))
 {
     thread_.post([this] { runSweep(); });
 }
@@ -164,6 +168,14 @@
     });
 }
 
+void EntryThread::mergeCrashRecord(const quarantine::CrashRecord& record, base::TimePoint changedAt)
+{
+    thread_.post([this, record, changedAt] {
+        if (state_->shared.quarantine.merge(record, changedAt))
+            state_->shared.logCrashRecord(record, "heard");
+    });
+}
+
 void EntryThread::beginShutdown(const ShutdownTimes& times)
 {
     thread_.call([&] { state_->shared.shutdown = times; });
@@ -236,6 +248,10 @@
             counters.silentDropped);
         gauge("upstream_crashes", "Times that an upstream ended while it may have run attempts of this VM.",
             counters.crashed);
+        gauge("suspected_requests", "Requests under which upstreams have ended, without a response since.",
+            shared.quarantine.suspectedCount());
+        gauge("quarantined_requests", "Requests in quarantine because they crash upstreams.",
+            shared.quarantine.quarantinedCount(shared.now()));
         gauge("unmatched_answers", "Responses that match no pending request.", counters.unmatched);
         gauge("caller_connections", "Open connections from callers.", state_->server.counters().open);
         gauge("malformed_requests", "Requests of callers rejected as malformed or oversized.",
--- a/src/entry/entrythread.h
+++ b/src/entry/entrythread.h
@@ -5,6 +5,7 @@
 #include "entry/types.h"
 #include "fleet/types.h"
 #include "metrics/registry.h"
+#include "quarantine/types.h"
 #include "routing/routetable.h"
 #include "runtime/fiberthread.h"
 
@@ -20,8 +21,10 @@
 class EntryThread {
 public:
     // writeLog: writes one log line, given as the members of a JSON object; must not block.
+    // reportCrash: tells the other VMs of a request that crashes upstreams; called on this thread. May be empty.
     EntryThread(const EntrySettings&, const CallerProtocol&, const upstreamclient::UpstreamProtocol&,
-        std::function<void(const std::string&)> writeLog);
+        std::function<void(const std::string&)> writeLog,
+        std::function<void(const quarantine::CrashRecord&)> reportCrash = {});
     ~EntryThread();
     EntryThread(const EntryThread&) = delete;
     EntryThread& operator=(const EntryThread&) = delete;
@@ -43,6 +46,9 @@
     // Applies a first view of the fleet, which is not complete: only delegates are chosen from it.
     void applyFirstMembers(std::vector<fleet::NodeInfo> vms, const fleet::NodeInfo& self);
 
+    // Takes over what another VM knows of a request that crashes upstreams.
+    void mergeCrashRecord(const quarantine::CrashRecord&, base::TimePoint changedAt);
+
     // Closes each connection after its next response. New connections are still accepted, and requests that end before
     // the process does; others are refused at once.
     void beginShutdown(const ShutdownTimes&);
--- a/src/entry/internal/activerequest.cpp
+++ b/src/entry/internal/activerequest.cpp
@@ -127,6 +127,7 @@
         return;
     outcomeDueAt_ = due;
     removeAllWaiting();
+    reportCrash();
     if (isFiberWaiting_)
         finished_.notify();
 }
@@ -148,7 +149,10 @@
     state_.directory.pool(action.upstream)
         .send({ action.attempt, outboundRequest_, spec_.deadline, spec_.isIdempotent,
                   route_.isFanout() ? MaxPartBytes : MaxResponseBytes, {},
-                  [self = shared_from_this(), upstream = action.upstream] { self->onUpstreamCrashed(upstream); } },
+                  [self = shared_from_this(),
+                      crash = Crash { action.upstream, state_.quarantine.crashes(outboundRequest_->fingerprint) }] {
+                      self->onUpstreamCrashed(crash);
+                  } },
             [self = shared_from_this(), id = action.attempt](
                 upstreamclient::AttemptResult result) { self->onResult(id, std::move(result)); });
 }
@@ -180,6 +184,7 @@
         onReply(id, attempt, *std::move(result));
     else
         onError(id, attempt, result.error());
+    reportCrash();
     if (!outcome_)
         armTimer();
 }
@@ -189,22 +194,24 @@
     const base::TimePoint now = state_.now();
     switch (reply.kind) {
     case ReplyKind::Success:
+        onResponse();
         state_.directory.selector().onAnswered(attempt.upstream, id, now);
         latency_.observe(now - attempt.at);
         replies_[attempt.shard] = std::move(reply);
         apply(query_.onAnswered(id, now));
         return;
     case ReplyKind::NotRun:
-        failAttempt(
-            id, attempt, RunState::NotRun, true, "refused with status " + std::to_string(reply.response.result_int()));
+        failAttempt(id, attempt,
+            { RunState::NotRun, true, "refused with status " + std::to_string(reply.response.result_int()) });
         return;
     case ReplyKind::WrongUpstream:
-        failAttempt(id, attempt, RunState::NotRun, false, "a different process responds at the address");
+        failAttempt(id, attempt, { RunState::NotRun, false, "a different process responds at the address" });
         return;
     case ReplyKind::Failure: {
+        onResponse();
         const std::string reason = "failed with status " + std::to_string(reply.response.result_int());
         failedReply_ = std::move(reply);
-        failAttempt(id, attempt, RunState::Run, true, reason);
+        failAttempt(id, attempt, { RunState::Run, true, reason });
         return;
     }
     }
@@ -214,25 +221,45 @@
 {
     // If the connection could not be opened, the attempt put no load on the upstream.
     const bool reachedUpstream = error.runState != RunState::NotRun;
-    failAttempt(id, attempt, error.runState, reachedUpstream, toString(error));
+    const bool isConnectionLost = error.code == ErrorCode::ConnectionLost && reachedUpstream;
+    failAttempt(id, attempt, { error.runState, reachedUpstream, toString(error), isConnectionLost });
 }
 
-void ActiveRequest::onUpstreamCrashed(UpstreamId upstream)
+void ActiveRequest::onUpstreamCrashed(const Crash& crash)
 {
-    if (!state_.log.hasTokens())
+    if (state_.log.hasTokens()) {
+        const discovery::UpstreamEntry& entry = state_.directory.entry(crash.upstream);
+        state_.log.writeDecision("crashed_during_request",
+            { { "request", outboundRequest_->requestId }, { "fingerprint", outboundRequest_->fingerprint },
+                { "route", route_.name }, { "upstream", entry.id }, { "service", entry.service },
+                { "crashes_when_sent", crash.crashesWhenSent } });
+    }
+    if (!crash_ || crash.crashesWhenSent > crash_->crashesWhenSent)
+        crash_ = crash;
+    reportCrash();
+}
+
+// Most requests that lose an upstream are innocent, and answered by the next one. Only those that no upstream has
+// survived are worth telling the other VMs.
+void ActiveRequest::reportCrash()
+{
+    if (!crash_ || hasResponse_ || (!outcome_ && !inFlight_.empty()))
         return;
-    state_.log.writeDecision("crashed_during_request",
-        { { "request", outboundRequest_->requestId }, { "route", route_.name },
-            { "upstream", state_.directory.entry(upstream).id },
-            { "service", state_.directory.entry(upstream).service } });
+    const Crash crash = *std::exchange(crash_, std::nullopt);
+    state_.onCrash(outboundRequest_->fingerprint, crash.crashesWhenSent, state_.directory.entry(crash.upstream).id);
+}
+
+void ActiveRequest::onResponse()
+{
+    hasResponse_ = true;
+    state_.onAnswered(outboundRequest_->fingerprint);
 }
 
-void ActiveRequest::failAttempt(
-    AttemptId id, const InFlightAttempt& attempt, RunState runState, bool reachedUpstream, const std::string& reason)
+void ActiveRequest::failAttempt(AttemptId id, const InFlightAttempt& attempt, const fanout::AttemptFailure& failure)
 {
     state_.directory.selector().onFailed(attempt.upstream, id, state_.now());
-    recordEvent(EventKind::Failed, attempt.shard, attempt.upstream, reason);
-    apply(query_.onFailed(id, { runState, reachedUpstream, reason }, state_.now()));
+    recordEvent(EventKind::Failed, attempt.shard, attempt.upstream, failure.reason);
+    apply(query_.onFailed(id, failure, state_.now()));
 }
 
 } // namespace flamingousher::entry
--- a/src/entry/internal/activerequest.h
+++ b/src/entry/internal/activerequest.h
@@ -56,6 +56,12 @@
         base::TimePoint at;
     };
 
+    // An upstream that has ended while it ran an attempt.
+    struct Crash {
+        UpstreamId upstream { 0 };
+        std::uint32_t crashesWhenSent { 0 };
+    };
+
     fanout::FanoutHooks makeHooks();
     void apply(std::vector<fanout::Action>);
     void applyAt(base::TimePoint due, std::vector<fanout::Action>);
@@ -64,9 +70,10 @@
     void onResult(AttemptId, upstreamclient::AttemptResult);
     void onReply(AttemptId, const InFlightAttempt&, upstreamclient::UpstreamReply);
     void onError(AttemptId, const InFlightAttempt&, const base::Error&);
-    void onUpstreamCrashed(UpstreamId);
-    void failAttempt(
-        AttemptId, const InFlightAttempt&, base::RunState, bool reachedUpstream, const std::string& reason);
+    void onUpstreamCrashed(const Crash&);
+    void onResponse();
+    void reportCrash();
+    void failAttempt(AttemptId, const InFlightAttempt&, const fanout::AttemptFailure&);
     void removeAllWaiting();
     void armTimer();
     void recordEvent(accounts::EventKind, std::uint32_t shard, UpstreamId, std::string detail = {});
@@ -89,6 +96,8 @@
     std::vector<std::optional<balancing::WaitQueue::Key>> queueKeys_; // by shard
     std::optional<upstreamclient::UpstreamReply> failedReply_;
     std::vector<RequestEvent> events_;
+    std::optional<Crash> crash_; // not reported yet
+    bool hasResponse_ { false }; // of any upstream that has run the request
     bool isFiberWaiting_ { false };
 };
 
--- a/src/entry/internal/entrystate.cpp
+++ b/src/entry/internal/entrystate.cpp
@@ -12,7 +12,7 @@
 
 EntryState::EntryState(boost::asio::io_context& ioContext, const EntrySettings& entrySettings,
     const CallerProtocol& callerProtocol, const upstreamclient::UpstreamProtocol& upstreamProtocol,
-    std::function<void(const std::string&)> writeLog)
+    std::function<void(const std::string&)> writeLog, std::function<void(const quarantine::CrashRecord&)> crashReporter)
     : io(ioContext)
     , settings(entrySettings)
     , callers(callerProtocol)
@@ -22,6 +22,8 @@
     , records(MaxRecords)
     , directory(ioContext, settings, upstreams, log, now)
     , delegates(ioContext, settings, log, now)
+    , quarantine({ .knownSafeCapacity = 0 })
+    , reportCrash(std::move(crashReporter))
 {
 }
 
@@ -48,6 +50,35 @@
     return delegatedLatencyByRoute.try_emplace(route.name, route.goal).first->second;
 }
 
+void EntryState::onCrash(
+    quarantine::Fingerprint fingerprint, std::uint32_t crashesWhenSent, const std::string& upstream)
+{
+    const auto record = quarantine.onCrash(fingerprint, crashesWhenSent, upstream, now());
+    if (!record)
+        return;
+    logCrashRecord(*record, "seen");
+    if (reportCrash)
+        reportCrash(*record);
+}
+
+void EntryState::onAnswered(quarantine::Fingerprint fingerprint)
+{
+    const auto record = quarantine.onAnswered(fingerprint, now());
+    if (!record)
+        return;
+    logCrashRecord(*record, "answered");
+    if (reportCrash)
+        reportCrash(*record);
+}
+
+void EntryState::logCrashRecord(const quarantine::CrashRecord& record, const char* how)
+{
+    log.writeDecision("crash_record",
+        { { "fingerprint", record.fingerprint }, { "how", how }, { "crashes", record.crashes },
+            { "version", record.version }, { "upstream", record.upstream },
+            { "quarantined", quarantine.isQuarantined(record.fingerprint, now()) } });
+}
+
 void EntryState::updateDelegates()
 {
     delegates.set(directory.chooseDelegates());
--- a/src/entry/internal/entrystate.h
+++ b/src/entry/internal/entrystate.h
@@ -9,6 +9,7 @@
 #include "fanout/subrequestlatency.h"
 #include "http/server.h"
 #include "metrics/registry.h"
+#include "quarantine/quarantine.h"
 #include "routing/routetable.h"
 #include "routing/servicesplit.h"
 
@@ -24,7 +25,8 @@
 // State shared by all requests of the entry thread. Used on that thread only.
 struct EntryState {
     EntryState(boost::asio::io_context&, const EntrySettings&, const CallerProtocol&,
-        const upstreamclient::UpstreamProtocol&, std::function<void(const std::string&)> writeLog);
+        const upstreamclient::UpstreamProtocol&, std::function<void(const std::string&)> writeLog,
+        std::function<void(const quarantine::CrashRecord&)> reportCrash);
 
     void applyRoutes(const std::shared_ptr<const routing::RouteTable>&);
 
@@ -37,6 +39,11 @@
     // Updates the delegates after a change of the fleet, the configuration or the upstreams.
     void updateDelegates();
 
+    // Record that upstreams have ended under a request, or that one has responded to it, and tell the other VMs.
+    void onCrash(quarantine::Fingerprint, std::uint32_t crashesWhenSent, const std::string& upstream);
+    void onAnswered(quarantine::Fingerprint);
+    void logCrashRecord(const quarantine::CrashRecord&, const char* how);
+
     // Returns an identifier that is unique within this process.
     std::uint64_t nextId() { return ++lastId; }
 
@@ -50,6 +57,8 @@
     accounts::RecordStore records;
     Directory directory;
     Delegates delegates;
+    quarantine::Quarantine quarantine;
+    std::function<void(const quarantine::CrashRecord&)> reportCrash; // to the other VMs; may be empty
     std::shared_ptr<const routing::RouteTable> routes; // null until a configuration is loaded
     routing::ServiceSplit split;
     std::map<std::string, fanout::SubRequestLatency> latencyByRoute;
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -107,6 +107,8 @@
         // An error at the end tells the caller more than a connection that closes.
         routed.deadline = std::min(routed.deadline, state_.shutdown->endsAt);
     }
+    if (state_.quarantine.isQuarantined(decoded->outbound->fingerprint, now))
+        return refuseCrashing(routed);
     const bool isDelegated = route->isFanout() && route->isIdempotent && !state_.delegates.isEmpty();
     return isDelegated ? runDelegated(routed, routes, exchange) : run(routed, routes, exchange);
 }
@@ -225,6 +227,19 @@
 
 http::Response RequestHandler::run(
     const RoutedRequest& routed, std::shared_ptr<const routing::RouteTable> routes, http::Exchange& exchange)
+{
+    const quarantine::Fingerprint fingerprint = routed.decoded.outbound->fingerprint;
+    const bool isProbe = state_.quarantine.verdict(fingerprint, state_.now()) != quarantine::Verdict::Unsuspected;
+    if (isProbe && !state_.quarantine.beginProbe(fingerprint, state_.now(), routed.deadline))
+        return refuseCrashing(routed);
+    http::Response response = runQuery(routed, std::move(routes), exchange, isProbe);
+    if (isProbe)
+        state_.quarantine.endProbe(fingerprint, state_.now());
+    return response;
+}
+
+http::Response RequestHandler::runQuery(const RoutedRequest& routed, std::shared_ptr<const routing::RouteTable> routes,
+    http::Exchange& exchange, bool isProbe)
 {
     auto services = servicesOf(routed.route);
     for (const auto& service : services)
@@ -237,7 +252,7 @@
     }
     const fanout::FanoutSpec spec { static_cast<std::uint32_t>(services.size()), routed.goal, routed.deadline,
         routed.route.minCoverage, routed.maxAttempts, routed.route.isIdempotent, routed.hedgeFrom,
-        state_.writeTimes.spread() };
+        state_.writeTimes.spread(), isProbe };
     const auto active = std::make_shared<ActiveRequest>(
         state_, std::move(routes), routed.route, routed.decoded, std::move(services), spec);
     exchange.onPeerGone = [weak = std::weak_ptr(active)] {
@@ -285,6 +300,13 @@
         { code, base::Step::Receive, {}, reason, result.runState }, base::Duration::zero());
 }
 
+http::Response RequestHandler::refuseCrashing(const RoutedRequest& routed)
+{
+    return refuse(routed,
+        { ErrorCode::Quarantined, base::Step::Admission, {}, "the request crashes upstreams", RunState::NotRun },
+        state_.quarantine.retryAfter(routed.decoded.outbound->fingerprint, state_.now()));
+}
+
 http::Response RequestHandler::refuse(const RoutedRequest& routed, const Error& error, base::Duration retryAfter)
 {
     if (state_.log.hasTokens()) {
--- a/src/entry/internal/requesthandler.h
+++ b/src/entry/internal/requesthandler.h
@@ -33,6 +33,9 @@
     };
 
     http::Response run(const RoutedRequest&, std::shared_ptr<const routing::RouteTable>, http::Exchange&);
+    http::Response runQuery(
+        const RoutedRequest&, std::shared_ptr<const routing::RouteTable>, http::Exchange&, bool isProbe);
+
     // Delegates the request if possible, and runs it here otherwise.
     http::Response runDelegated(const RoutedRequest&, std::shared_ptr<const routing::RouteTable>, http::Exchange&);
     http::Response makeDelegatedResponse(const RoutedRequest&, DelegationResult, http::Exchange&);
@@ -45,6 +48,8 @@
     balancing::AdmissionDecision admit(const RoutedRequest&, const std::vector<std::shared_ptr<ServiceState>>&);
     http::Response makeResponse(const RoutedRequest&, ActiveRequest&, const fanout::FinishFanout&);
     http::Response makeFailureResponse(const RoutedRequest&, ActiveRequest&, const fanout::FinishFanout&);
+    // Refuses a request that is known to crash upstreams.
+    http::Response refuseCrashing(const RoutedRequest&);
     http::Response refuse(const RoutedRequest&, const base::Error&, base::Duration retryAfter);
     http::Response refuseUnrouted(const http::Request&, const DecodedRequest&, const base::Error&);
     void recordOutcome(
--- a/src/fanout/fanoutquery.cpp
+++ b/src/fanout/fanoutquery.cpp
@@ -14,6 +14,9 @@
     // Delay before a hedge is tried again for which no upstream or no retry budget was available.
     constexpr base::Duration HedgeRetryInterval = std::chrono::milliseconds(8);
 
+    // Attempts lost before any response until a request is suspected to end its upstreams. One is lost at times.
+    constexpr std::uint32_t SuspiciousLosses = 2;
+
     // Tolerance for rounding when comparing coverage: 0.89 of 100 shards must equal 89.
     constexpr double CoverageTolerance = 1e-9;
 
@@ -30,12 +33,68 @@
 std::vector<Action> FanoutQuery::start(base::TimePoint now)
 {
     std::vector<Action> actions;
-    for (std::uint32_t shard = 0; shard < shards_.size(); ++shard)
-        sendOrAwait(shard, false, now, actions);
+    for (std::uint32_t shard = 0; shard < shards_.size(); ++shard) {
+        if (spec_.isProbe)
+            holdBack(shard);
+        else
+            sendOrAwait(shard, false, now, actions);
+    }
+    if (spec_.isProbe)
+        sendCanary(now, actions);
     finishIfSettled(now, actions);
     return actions;
 }
 
+bool FanoutQuery::isCautious() const
+{
+    return !hasResponse_ && (spec_.isProbe || lostAttempts_ >= SuspiciousLosses);
+}
+
+bool FanoutQuery::isCanaryPending() const
+{
+    if (!canaryShard_)
+        return false;
+    const Shard& shard = shards_[*canaryShard_];
+    return !shard.hasFailed && (shard.isAwaitingCapacity || !shard.inFlight.empty());
+}
+
+void FanoutQuery::holdBack(std::uint32_t shard)
+{
+    shards_[shard].isHeldBack = true;
+    if (shards_[shard].lastFailure.empty())
+        shards_[shard].lastFailure = "held back, as the request may crash upstreams";
+}
+
+// Sends to one of the shards that are held back; to another if that one has no usable upstream.
+void FanoutQuery::sendCanary(base::TimePoint now, std::vector<Action>& actions)
+{
+    // Varies the shard, or the same upstreams would get the canary of every request.
+    const auto first = static_cast<std::uint32_t>(hooks_.nextAttemptId() % shards_.size());
+    for (std::uint32_t offset = 0; offset < shards_.size() && !isCanaryPending(); ++offset) {
+        const auto shard = static_cast<std::uint32_t>((first + offset) % shards_.size());
+        if (!std::exchange(shards_[shard].isHeldBack, false))
+            continue;
+        canaryShard_ = shard;
+        sendOrAwait(shard, !shards_[shard].tried.empty(), now, actions);
+    }
+}
+
+void FanoutQuery::releaseHeldBack(base::TimePoint now, std::vector<Action>& actions)
+{
+    for (std::uint32_t shard = 0; shard < shards_.size(); ++shard) {
+        if (std::exchange(shards_[shard].isHeldBack, false))
+            sendOrAwait(shard, !shards_[shard].tried.empty(), now, actions);
+    }
+}
+
+void FanoutQuery::giveUpHeldBack()
+{
+    for (std::uint32_t shard = 0; shard < shards_.size(); ++shard) {
+        if (shards_[shard].isHeldBack)
+            failShard(shard);
+    }
+}
+
 void FanoutQuery::send(
     std::uint32_t shard, UpstreamId upstream, bool isExtra, base::TimePoint now, std::vector<Action>& actions)
 {
@@ -97,8 +156,10 @@
     for (const Attempt& other : std::exchange(state.inFlight, {}))
         actions.push_back(DropAttempt { other.id, other.upstream });
     hasPossibleRun_ = true;
+    hasResponse_ = true;
     ++answeredShards_;
     --pendingShards_;
+    releaseHeldBack(now, actions);
     finishIfSettled(now, actions);
     return actions;
 }
@@ -121,10 +182,16 @@
         --state.possibleRuns;
     else
         hasPossibleRun_ = true;
+    hasResponse_ = hasResponse_ || failure.runState == RunState::Run;
+    lostAttempts_ += failure.isConnectionLost ? 1 : 0;
     if (state.inFlight.empty()) {
         state.hedgeAt = base::TimePoint::max();
         retry(found->shard, failure, now, actions);
     }
+    if (!isCautious())
+        releaseHeldBack(now, actions);
+    else if (!isCanaryPending())
+        sendCanary(now, actions);
     finishIfSettled(now, actions);
     return actions;
 }
@@ -134,6 +201,13 @@
 {
     Shard& state = shards_[shard];
     const bool canRetry = spec_.isIdempotent || failure.runState == RunState::NotRun;
+    // The canary's loss is the proof: nothing more is sent.
+    const bool isCanaryLost = failure.isConnectionLost && isCautious() && canaryShard_ == shard;
+    if (isCanaryLost && (spec_.isProbe || shards_.size() > 1)) {
+        failShard(shard);
+        giveUpHeldBack();
+        return;
+    }
     if (!canRetry || state.possibleRuns >= spec_.maxAttempts || now >= spec_.deadline) {
         failShard(shard);
         return;
@@ -146,6 +220,12 @@
         return;
     }
     ++retries_;
+    if (isCautious()) {
+        holdBack(shard);
+        return;
+    }
+    if (failure.isConnectionLost)
+        canaryShard_ = shard;
     sendOrAwait(shard, failure.reachedUpstream, now, actions);
 }
 
@@ -164,6 +244,7 @@
     if (!std::exchange(state.hasFailed, true))
         --pendingShards_;
     state.isAwaitingCapacity = false;
+    state.isHeldBack = false;
     state.hedgeAt = base::TimePoint::max();
 }
 
@@ -208,6 +289,8 @@
 {
     Shard& state = shards_[shard];
     state.hedgeAt = now + HedgeRetryInterval;
+    if (isCautious())
+        return;
     const ReplicaSelector::Choice choice = hooks_.choose(shard, state.tried);
     if (choice.outcome != ReplicaSelector::Outcome::Chosen || !hooks_.acquireExtraAttempt(shard, ExtraAttempt::Hedge))
         return;
--- a/src/fanout/fanoutquery.h
+++ b/src/fanout/fanoutquery.h
@@ -29,6 +29,10 @@
 //
 // Load pattern: with many shards, one is slow at almost any moment. A query hedges stragglers, and returns a partial
 // result before its latency goal if that meets the minimum coverage: the sooner, the less the missing shards would add.
+//
+// A request that ends the upstreams that run it ends one of each shard at once, and another with each retry. A query
+// that loses attempts before any response therefore goes on with one attempt, the canary, and holds the other shards
+// back until it is answered.
 class FanoutQuery {
 public:
     FanoutQuery(const FanoutSpec&, FanoutHooks);
@@ -61,6 +65,7 @@
         bool hasFailed { false };
         bool isAwaitingCapacity { false };
         bool hasConnectFailure { false }; // an attempt failed before it reached its upstream
+        bool isHeldBack { false }; // until the canary is answered
         std::uint32_t possibleRuns { 0 }; // attempts that ran or may have run
         std::vector<Attempt> inFlight;
         std::vector<UpstreamId> tried;
@@ -79,6 +84,12 @@
     void send(std::uint32_t shard, UpstreamId, bool isExtra, base::TimePoint now, std::vector<Action>&);
     void sendOrAwait(std::uint32_t shard, bool isExtra, base::TimePoint now, std::vector<Action>&);
     void retry(std::uint32_t shard, const AttemptFailure&, base::TimePoint now, std::vector<Action>&);
+    void holdBack(std::uint32_t shard);
+    void sendCanary(base::TimePoint now, std::vector<Action>&);
+    void releaseHeldBack(base::TimePoint now, std::vector<Action>&);
+    void giveUpHeldBack();
+    bool isCautious() const;
+    bool isCanaryPending() const;
     void hedge(std::uint32_t shard, base::TimePoint now, std::vector<Action>&);
     void failUnconnectedShards();
     void failShard(std::uint32_t shard);
@@ -95,6 +106,9 @@
     std::uint32_t answeredShards_ { 0 };
     std::uint32_t retries_ { 0 };
     std::uint32_t hedges_ { 0 };
+    std::uint32_t lostAttempts_ { 0 }; // their upstreams may have ended
+    bool hasResponse_ { false }; // an upstream has survived the request
+    std::optional<std::uint32_t> canaryShard_; // last shard that went on while others were held back
     bool hasPossibleRun_ { false };
     bool isFinished_ { false };
 };
--- a/src/fanout/tests/fanoutquerytests.cpp
+++ b/src/fanout/tests/fanoutquerytests.cpp
@@ -19,9 +19,10 @@
 // A query over shards with three upstreams each: shard s has 10 s, 10 s + 1 and 10 s + 2.
 struct Harness {
     explicit Harness(std::uint32_t shards, double minCoverage = 0.89, std::uint32_t maxAttempts = 2,
-        bool isIdempotent = true, base::TimePoint hedgeFrom = {}, base::Duration deliverySpread = {})
+        bool isIdempotent = true, base::TimePoint hedgeFrom = {}, base::Duration deliverySpread = {},
+        bool isProbe = false)
         : query({ shards, Start + milliseconds(100), Start + milliseconds(800), minCoverage, maxAttempts, isIdempotent,
-                    hedgeFrom, deliverySpread },
+                    hedgeFrom, deliverySpread, isProbe },
             { [this](std::uint32_t shard, const std::vector<UpstreamId>& tried) { return choose(shard, tried); },
                 [](std::uint32_t, UpstreamId) { return milliseconds(20); },
                 [this](std::uint32_t, ExtraAttempt) { return extraAttemptBudget-- > 0; }, [this] { return ++lastId; } })
@@ -64,6 +65,20 @@
         apply(query.onFailed(attempts[shard].at(attempt).attempt, { runState, true, "lost" }, at));
     }
 
+    // The connection ends while the upstream may run the attempt.
+    void loseConnection(std::uint32_t shard, base::TimePoint at, std::size_t attempt = 0)
+    {
+        apply(query.onFailed(attempts[shard].at(attempt).attempt, { RunState::Unknown, true, "lost", true }, at));
+    }
+
+    std::size_t sentCount() const
+    {
+        std::size_t count = 0;
+        for (const auto& [shard, sent] : attempts)
+            count += sent.size();
+        return count;
+    }
+
     void failToConnect(std::uint32_t shard, base::TimePoint at, std::size_t attempt)
     {
         apply(query.onFailed(attempts[shard].at(attempt).attempt, { RunState::NotRun, false, "refused" }, at));
@@ -300,3 +315,92 @@
     harness.apply(harness.query.onTimer(Start + milliseconds(100)));
     cr_assert(harness.finish->finishReason == FinishReason::Failed);
 }
+
+// Load pattern: a request ends the upstreams of all its shards within a millisecond.
+Test(FanoutQuery, sendsOneMoreAttemptAfterLossesWithoutResponse)
+{
+    Harness harness(10);
+    harness.start();
+    for (std::uint32_t shard = 0; shard < 10; ++shard)
+        harness.loseConnection(shard, Start + milliseconds(1));
+    cr_assert_eq(harness.sentCount(), 11);
+    harness.apply(harness.query.onTimer(Start + milliseconds(30)));
+    cr_assert_eq(harness.sentCount(), 11, "no hedge either");
+    harness.loseConnection(0, Start + milliseconds(31), 1);
+    cr_assert_eq(harness.sentCount(), 11);
+    cr_assert(harness.finish->finishReason == FinishReason::Failed);
+    cr_assert(harness.finish->runState == RunState::Unknown);
+}
+
+// Load pattern: a zone loses power with innocent requests in progress at all its upstreams.
+Test(FanoutQuery, retriesAllShardsOnceOneHasAnswered)
+{
+    Harness harness(10);
+    harness.start();
+    for (std::uint32_t shard = 0; shard < 10; ++shard)
+        harness.loseConnection(shard, Start + milliseconds(1));
+    harness.answer(0, Start + milliseconds(15), 1);
+    cr_assert_eq(harness.sentCount(), 20);
+    for (std::uint32_t shard = 1; shard < 10; ++shard)
+        harness.answer(shard, Start + milliseconds(30), 1);
+    cr_assert(harness.finish->finishReason == FinishReason::Answered);
+    cr_assert(harness.finish->missing.empty());
+}
+
+Test(FanoutQuery, retriesLossesAtOnceAfterAResponse)
+{
+    Harness harness(10);
+    harness.start();
+    harness.answer(9, Start + milliseconds(1));
+    for (std::uint32_t shard = 0; shard < 9; ++shard)
+        harness.loseConnection(shard, Start + milliseconds(1));
+    cr_assert_eq(harness.sentCount(), 19);
+}
+
+// An upstream that reports an error has survived the request.
+Test(FanoutQuery, takesAnErrorOfAnUpstreamForAResponse)
+{
+    Harness harness(10);
+    harness.start();
+    harness.loseConnection(0, Start + milliseconds(1));
+    harness.loseConnection(1, Start + milliseconds(1));
+    harness.loseConnection(2, Start + milliseconds(1));
+    cr_assert_eq(harness.sentCount(), 11);
+    harness.fail(3, RunState::Run, Start + milliseconds(2));
+    cr_assert_eq(harness.sentCount(), 14);
+}
+
+Test(FanoutQuery, sendsProbeToOneShardUntilItHasAnswered)
+{
+    Harness harness(10, 0.89, 2, true, {}, {}, true);
+    harness.start();
+    cr_assert_eq(harness.sentCount(), 1);
+    const std::uint32_t first = harness.attempts.begin()->first;
+    harness.answer(first, Start + milliseconds(15));
+    cr_assert_eq(harness.sentCount(), 10);
+    for (std::uint32_t shard = 0; shard < 10; ++shard) {
+        if (shard != first)
+            harness.answer(shard, Start + milliseconds(30));
+    }
+    cr_assert(harness.finish->finishReason == FinishReason::Answered);
+}
+
+Test(FanoutQuery, endsProbeWhenItsConnectionIsLost)
+{
+    for (const std::uint32_t shards : { 1U, 10U }) {
+        Harness harness(shards, 0.89, 3, true, {}, {}, true);
+        harness.start();
+        harness.loseConnection(harness.attempts.begin()->first, Start + milliseconds(1));
+        cr_assert_eq(harness.sentCount(), 1);
+        cr_assert(harness.finish->finishReason == FinishReason::Failed);
+    }
+}
+
+Test(FanoutQuery, probesAnotherUpstreamAfterARefusal)
+{
+    Harness harness(10, 0.89, 2, true, {}, {}, true);
+    harness.start();
+    harness.fail(harness.attempts.begin()->first, RunState::NotRun, Start + milliseconds(1));
+    cr_assert_eq(harness.sentCount(), 2);
+    cr_assert(!harness.finish);
+}
--- a/src/fanout/types.h
+++ b/src/fanout/types.h
@@ -23,6 +23,7 @@
     bool isIdempotent { true };
     base::TimePoint hedgeFrom; // no hedge is sent earlier
     base::Duration deliverySpread { 0 }; // standard deviation of the time until the answer reaches the caller
+    bool isProbe { false }; // may crash upstreams: sent to one until that has responded
 
     bool operator==(const FanoutSpec&) const = default;
 };
@@ -56,6 +57,7 @@
     base::RunState runState { base::RunState::Unknown };
     bool reachedUpstream { true }; // such an attempt adds load there
     std::string reason;
+    bool isConnectionLost { false }; // after the request was sent: the upstream may have ended
 
     bool operator==(const AttemptFailure&) const = default;
 };
--- a/src/fleet/fleetcore.cpp
+++ b/src/fleet/fleetcore.cpp
@@ -33,9 +33,9 @@
               hooks_.random,
               [this] { isViewChanged_ = true; },
               [this](const NodeInfo& from, const ConfigurationId& id) { onConfigurationReported(from, id); },
-              [this](const CrashEvidence& evidence) {
+              [this](const quarantine::CrashRecord& record, base::TimePoint changedAt) {
                   hasNewCrash_ = true;
-                  hooks_.onCrash(evidence);
+                  hooks_.onCrash(record, changedAt);
               },
           })
     , ownership_(self.id, ownershipSettings)
@@ -261,9 +261,9 @@
     return toFleetOutgoing(membership_.leave(now));
 }
 
-std::vector<FleetOutgoing> FleetCore::reportCrash(const CrashEvidence& evidence)
+std::vector<FleetOutgoing> FleetCore::reportCrash(const quarantine::CrashRecord& record, base::TimePoint now)
 {
-    membership_.reportCrash(evidence);
+    membership_.reportCrash(record, now);
     hasNewCrash_ = false;
     return toFleetOutgoing(membership_.gossipNow(GossipFanOut));
 }
--- a/src/fleet/fleetcore.h
+++ b/src/fleet/fleetcore.h
@@ -58,7 +58,7 @@
         std::function<std::uint64_t()> random;
         std::function<void()> onConfigurationChange; // a different configuration has been applied
         std::function<void()> onOwnershipChange; // owners or shares may have changed
-        std::function<void(const CrashEvidence&)> onCrash;
+        std::function<void(const quarantine::CrashRecord&, base::TimePoint changedAt)> onCrash;
         std::function<bool(const std::string& upstream)> hasWorkInFlight;
     };
 
@@ -78,8 +78,8 @@
     // Gives up all owned upstreams and notifies other nodes.
     std::vector<FleetOutgoing> leave(base::TimePoint now);
 
-    // Reports a crash to the fleet. New evidence is sent immediately, as the request may be retried on another node.
-    std::vector<FleetOutgoing> reportCrash(const CrashEvidence&);
+    // Reports a crash to the fleet. News are sent immediately, as the request may be retried on another node.
+    std::vector<FleetOutgoing> reportCrash(const quarantine::CrashRecord&, base::TimePoint now);
 
     // Returns true if this node is one of the few in its zone that watch the configuration service.
     bool isWatcher() const { return isWatcher_; }
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    // Each update is sent this many times the binary logarithm of the number of nodes. Comparisons of views tell
-    // members to the few nodes that gossip has missed, but not crashes.
+    // Each update is sent this many times the binary logarithm of the number of nodes. Comparisons tell the few nodes
+    // that gossip has missed, but for crashes that may be too late.
     constexpr std::uint32_t SendsPerLogNodes = 1;
     constexpr std::uint32_t CrashSendsPerLogNodes = 3;
 
@@ -17,8 +17,6 @@
 
     // Interval between seed contacts of a node without peers. When a whole fleet starts, the first seeds may not be up.
     constexpr base::Duration IsolatedSeedInterval = std::chrono::milliseconds(200);
-    constexpr std::size_t CrashesPerMessage = 4;
-    constexpr std::size_t MaxKnownCrashes = 1'024;
     constexpr std::size_t MaxProbeResults = 8;
     constexpr std::size_t MaxSuspectsPinged = 2;
 
@@ -71,6 +69,7 @@
         return outgoing;
     detectPause(now);
     lastTick_ = now;
+    now_ = now;
     checkProbe(now, outgoing);
     expireSuspects(now);
     if (suspects_ > 0 && now >= nextSuspectPing_) {
@@ -212,6 +211,7 @@
     std::vector<Outgoing> outgoing;
     if (isLeaving_)
         return outgoing;
+    now_ = now;
     if (const auto* ping = std::get_if<Ping>(&message)) {
         if (ping->target.boot != 0 && ping->target != self_.id) {
             // The ping is for an earlier incarnation at this endpoint: the ack shows that it has ended.
@@ -274,8 +274,9 @@
 {
     for (const MemberUpdate& update : gossip.members)
         applyUpdate(update, now);
-    for (const CrashEvidence& evidence : gossip.crashes)
-        reportCrash(evidence);
+    for (const CrashReport& report : gossip.crashes)
+        applyCrash(report.record, now - report.age, now);
+    crashes_.onDigest(gossip.crashDigest, now);
     hooks_.onConfiguration(from, gossip.configuration);
 }
 
@@ -421,14 +422,16 @@
     pendingUpdateOf_[update.node.id] = pendingUpdates_.emplace_hint(pendingUpdates_.begin(), 0, update);
 }
 
-void Membership::reportCrash(const CrashEvidence& evidence)
+void Membership::reportCrash(const quarantine::CrashRecord& record, base::TimePoint now)
 {
-    if (!knownCrashes_.insert(evidence).second)
-        return;
-    if (knownCrashes_.size() > MaxKnownCrashes)
-        knownCrashes_.erase(knownCrashes_.begin());
-    pendingCrashes_.push_front({ evidence, 0 });
-    hooks_.onCrash(evidence);
+    now_ = now;
+    applyCrash(record, now, now);
+}
+
+void Membership::applyCrash(const quarantine::CrashRecord& record, base::TimePoint changedAt, base::TimePoint now)
+{
+    if (crashes_.put(record, changedAt, now))
+        hooks_.onCrash(record, changedAt);
 }
 
 std::uint32_t Membership::logNodes() const
@@ -465,14 +468,7 @@
     gossip.configuration = configuration_;
     gossip.viewDigest = viewDigest_.total();
     addPendingUpdates(maxMembers, gossip);
-    for (PendingCrash& pending : pendingCrashes_) {
-        if (gossip.crashes.size() >= CrashesPerMessage)
-            break;
-        gossip.crashes.push_back(pending.evidence);
-        ++pending.sends;
-    }
-    std::erase_if(pendingCrashes_,
-        [&](const PendingCrash& pending) { return pending.sends >= CrashSendsPerLogNodes * logNodes(); });
+    crashes_.addTo(gossip, CrashSendsPerLogNodes * logNodes(), now_);
 }
 
 Ping Membership::makePing(std::uint64_t sequence, const NodeId& target)
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/crashgossip.h"
 #include "fleet/types.h"
 #include "fleet/viewdigest.h"
 
@@ -40,7 +41,9 @@
         // The state of a node has changed.
         std::function<void()> onChange;
         std::function<void(const NodeInfo& from, const ConfigurationId&)> onConfiguration;
-        std::function<void(const CrashEvidence&)> onCrash;
+
+        // A record of a request that crashes upstreams is new, or has changed.
+        std::function<void(const quarantine::CrashRecord&, base::TimePoint changedAt)> onCrash;
     };
 
     Membership(NodeInfo self, MembershipSettings, Hooks);
@@ -59,8 +62,8 @@
     // Sends the current gossip to random nodes immediately instead of with the next probe.
     std::vector<Outgoing> gossipNow(std::size_t fanOut);
 
-    // Disseminates evidence of a crash to all nodes.
-    void reportCrash(const CrashEvidence&);
+    // Disseminates a record of a request that crashes upstreams to all nodes.
+    void reportCrash(const quarantine::CrashRecord&, base::TimePoint now);
 
     // Returns this node first, then the other nodes that are alive or suspected.
     std::vector<NodeInfo> upNodes() const;
@@ -110,11 +113,6 @@
     // Updates still to be disseminated, by the number of times each has been sent.
     using PendingUpdates = std::multimap<std::uint32_t, MemberUpdate>;
 
-    struct PendingCrash {
-        CrashEvidence evidence;
-        std::uint32_t sends { 0 };
-    };
-
     void detectPause(base::TimePoint now);
     void startProbe(base::TimePoint now, std::vector<Outgoing>&);
     void checkProbe(base::TimePoint now, std::vector<Outgoing>&);
@@ -126,6 +124,7 @@
     bool isComparisonDue(const Gossip& received, base::TimePoint now) const;
     Gossip makeReply(const Gossip& received, base::TimePoint now);
     void addDifferingMembers(const std::vector<std::uint32_t>& viewBuckets, std::size_t maxMembers, Gossip&);
+    void applyCrash(const quarantine::CrashRecord&, base::TimePoint changedAt, base::TimePoint now);
     void applyGossip(const NodeInfo& from, const Gossip&, base::TimePoint now);
     void onMessageFrom(const NodeInfo&, base::TimePoint now, std::vector<Outgoing>&);
     void refute(const MemberUpdate&);
@@ -158,8 +157,8 @@
     std::map<std::uint64_t, Relay> relays_;
     PendingUpdates pendingUpdates_;
     std::map<NodeId, PendingUpdates::iterator> pendingUpdateOf_; // by the node of the update
-    std::deque<PendingCrash> pendingCrashes_;
-    std::set<CrashEvidence> knownCrashes_;
+    CrashGossip crashes_;
+    base::TimePoint now_; // of the last call that names the time
     std::set<std::string> seeds_;
     ConfigurationId configuration_;
     base::TimePoint lastTick_;
--- a/src/fleet/tests/fleetsimulation.cpp
+++ b/src/fleet/tests/fleetsimulation.cpp
@@ -35,7 +35,7 @@
         [this] { return random_(); },
         [] {},
         [] {},
-        [](const CrashEvidence&) {},
+        [](const quarantine::CrashRecord&, base::TimePoint) {},
         [](const std::string&) { return false; },
     };
     node.core
--- a/src/fleet/tests/membershipspreadtests.cpp
+++ b/src/fleet/tests/membershipspreadtests.cpp
@@ -43,7 +43,8 @@
         nodes_[endpoint]
             = { std::make_unique<Membership>(NodeInfo { { endpoint, boot }, "z", "r" }, settings,
                     Membership::Hooks { [this] { return random_(); }, [this, changedAt] { *changedAt = now_; },
-                        [](const NodeInfo&, const ConfigurationId&) {}, [](const CrashEvidence&) {} }),
+                        [](const NodeInfo&, const ConfigurationId&) {},
+                        [](const quarantine::CrashRecord&, base::TimePoint) {} }),
                   changedAt };
         nodes_[endpoint].membership->setSeeds({ "10.0.0.1:0", "10.0.0.1:1", "10.0.0.1:2" });
     }
--- a/src/fleet/tests/membershiptests.cpp
+++ b/src/fleet/tests/membershiptests.cpp
@@ -18,7 +18,8 @@
 
 Membership::Hooks noopHooks()
 {
-    return { [] { return 0; }, [] {}, [](const NodeInfo&, const ConfigurationId&) {}, [](const CrashEvidence&) {} };
+    return { [] { return 0; }, [] {}, [](const NodeInfo&, const ConfigurationId&) {},
+        [](const quarantine::CrashRecord&, base::TimePoint) {} };
 }
 
 Membership makeMembership()
@@ -130,10 +131,10 @@
 {
     int heard = 0;
     Membership::Hooks hooks = noopHooks();
-    hooks.onCrash = [&](const CrashEvidence&) { ++heard; };
+    hooks.onCrash = [&](const quarantine::CrashRecord&, base::TimePoint) { ++heard; };
     Membership membership(node("a", 1), {}, hooks);
-    membership.reportCrash({ 7, "u", 1 });
-    membership.reportCrash({ 7, "u", 1 });
+    membership.reportCrash({ 7, 1, 1, "u" }, Start);
+    membership.reportCrash({ 7, 1, 1, "u" }, Start);
     cr_expect_eq(heard, 1);
     const auto answer = membership.receive(Ping { 1, node("b", 2), { "a", 1 }, {} }, Start);
     cr_expect_eq(std::get<Ack>(answer.front().message).gossip.crashes.size(), 1u);
--- a/src/fleet/tests/viewcomparisontests.cpp
+++ b/src/fleet/tests/viewcomparisontests.cpp
@@ -65,7 +65,8 @@
 private:
     static Membership::Hooks makeHooks()
     {
-        return { [] { return 0; }, [] {}, [](const NodeInfo&, const ConfigurationId&) {}, [](const CrashEvidence&) {} };
+        return { [] { return 0; }, [] {}, [](const NodeInfo&, const ConfigurationId&) {},
+            [](const quarantine::CrashRecord&, base::TimePoint) {} };
     }
 
     static std::uint64_t digestOf(Membership& membership)
--- a/src/fleet/types.h
+++ b/src/fleet/types.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/types.h"
+#include "quarantine/types.h"
 
 #include <cstdint>
 #include <string>
@@ -58,18 +59,17 @@
     auto operator<=>(const ConfigurationId&) const = default;
 };
 
-// A crash of an upstream while it ran a request.
-struct CrashEvidence {
-    std::uint64_t fingerprint { 0 }; // of the request
-    std::string upstream; // name
-    std::uint64_t reporter { 0 }; // boot number of the owner that observed it
+// What the sender knows of a request that may crash upstreams.
+struct CrashReport {
+    quarantine::CrashRecord record;
+    base::Duration age { 0 }; // since the last change of the record
 
-    auto operator<=>(const CrashEvidence&) const = default;
+    bool operator==(const CrashReport&) const = default;
 };
 
 struct Gossip {
     std::vector<MemberUpdate> members;
-    std::vector<CrashEvidence> crashes;
+    std::vector<CrashReport> crashes;
     ConfigurationId configuration;
     std::uint64_t viewDigest { 0 }; // of the nodes that the sender believes up, including itself; 0 when unknown
 
@@ -77,6 +77,8 @@
     // the sender has seen that its view differs.
     std::vector<std::uint32_t> viewBuckets;
 
+    std::uint64_t crashDigest { 0 }; // of all records that the sender has; 0 when there are none
+
     bool operator==(const Gossip&) const = default;
 };
 
--- a/src/quarantine/quarantine.cpp
+++ b/src/quarantine/quarantine.cpp
@@ -4,57 +4,136 @@
 
 namespace flamingousher::quarantine {
 
+namespace {
+
+    // Time from the loss of a connection until it is known whether the upstream has ended.
+    constexpr base::Duration CrashDetectionTime = std::chrono::milliseconds(100);
+
+    constexpr base::Duration ExpiryInterval = std::chrono::seconds(10);
+
+} // namespace
+
 Quarantine::Quarantine(QuarantineSettings settings)
     : settings_(settings)
 {
 }
 
-void Quarantine::onCrash(Fingerprint fingerprint, const std::string& upstream, base::TimePoint now)
+std::uint32_t Quarantine::crashes(Fingerprint fingerprint) const
+{
+    const auto found = entries_.find(fingerprint);
+    return found == entries_.end() ? 0 : found->second.record.crashes;
+}
+
+Quarantine::Entry& Quarantine::add(Fingerprint fingerprint, base::TimePoint now)
 {
     expire(now);
-    recentCrashes_.push_back({ now, fingerprint, upstream });
-    if (isMassFailure()) {
-        removeRecentEvidence();
-        return;
-    }
-    if (evidence_.size() >= settings_.capacity && !evidence_.contains(fingerprint)) {
+    if (entries_.size() >= settings_.capacity && !entries_.contains(fingerprint)) {
         const auto oldest
-            = std::ranges::min_element(evidence_, {}, [](const auto& entry) { return entry.second.lastCrashAt; });
-        evidence_.erase(oldest);
+            = std::ranges::min_element(entries_, {}, [](const auto& entry) { return entry.second.changedAt; });
+        entries_.erase(oldest);
     }
-    Evidence& evidence = evidence_[fingerprint];
-    evidence.upstreams.insert(upstream);
-    evidence.lastCrashAt = now;
+    Entry& entry = entries_[fingerprint];
+    entry.record.fingerprint = fingerprint;
+    return entry;
+}
+
+std::optional<CrashRecord> Quarantine::onCrash(
+    Fingerprint fingerprint, std::uint32_t crashesWhenSent, const std::string& upstream, base::TimePoint now)
+{
     if (const auto safe = knownSafeIndex_.find(fingerprint); safe != knownSafeIndex_.end()) {
         knownSafe_.erase(safe->second);
         knownSafeIndex_.erase(safe);
     }
+    Entry& entry = add(fingerprint, now);
+    // A response since the attempt was sent has cleared what was known then.
+    const bool isCleared = entry.record.version > 0 && entry.record.crashes == 0;
+    const std::uint32_t known = isCleared ? 0 : crashesWhenSent;
+    if (known < entry.record.crashes)
+        return std::nullopt;
+    entry.record.crashes = known + 1;
+    ++entry.record.version;
+    entry.record.upstream = upstream;
+    entry.changedAt = now;
+    return entry.record;
 }
 
-bool Quarantine::isMassFailure() const
+std::optional<CrashRecord> Quarantine::onAnswered(Fingerprint fingerprint, base::TimePoint now)
 {
-    std::set<std::string> upstreams;
-    for (const Crash& crash : recentCrashes_)
-        upstreams.insert(crash.upstream);
-    return upstreams.size() >= settings_.massFailureUpstreams;
+    setKnownSafe(fingerprint);
+    const auto found = entries_.find(fingerprint);
+    if (found == entries_.end() || found->second.record.crashes == 0)
+        return std::nullopt;
+    Entry& entry = found->second;
+    entry.record.crashes = 0;
+    ++entry.record.version;
+    entry.changedAt = now;
+    return entry.record;
 }
 
-// Removes the evidence of all crashes within the window, including crashes from before the threshold was reached.
-void Quarantine::removeRecentEvidence()
+bool Quarantine::merge(const CrashRecord& record, base::TimePoint changedAt)
 {
-    for (const Crash& crash : recentCrashes_) {
-        const auto found = evidence_.find(crash.fingerprint);
-        if (found == evidence_.end())
-            continue;
-        found->second.upstreams.erase(crash.upstream);
-        if (found->second.upstreams.empty())
-            evidence_.erase(found);
-    }
+    Entry& entry = add(record.fingerprint, changedAt);
+    if (!record.isNewerThan(entry.record))
+        return false;
+    entry.record = record;
+    entry.changedAt = changedAt;
+    return true;
+}
+
+bool Quarantine::isQuarantined(const Entry& entry, base::TimePoint now) const
+{
+    return entry.record.crashes >= settings_.threshold && now < entry.changedAt + settings_.quarantineTime;
+}
+
+Verdict Quarantine::verdict(Fingerprint fingerprint, base::TimePoint now)
+{
+    if (entries_.empty())
+        return Verdict::Unsuspected;
+    expire(now);
+    const auto found = entries_.find(fingerprint);
+    if (found == entries_.end() || found->second.record.crashes == 0)
+        return Verdict::Unsuspected;
+    return isQuarantined(found->second, now) ? Verdict::Quarantined : Verdict::Suspected;
 }
 
-void Quarantine::onAnswered(Fingerprint fingerprint)
+base::TimePoint Quarantine::probeAllowedAt(const Entry& entry) const
 {
-    evidence_.erase(fingerprint);
+    return entry.record.crashes < 2 ? entry.changedAt : entry.changedAt + settings_.probeInterval;
+}
+
+bool Quarantine::beginProbe(Fingerprint fingerprint, base::TimePoint now, base::TimePoint until)
+{
+    const auto found = entries_.find(fingerprint);
+    if (found == entries_.end())
+        return true;
+    Entry& entry = found->second;
+    if (now < entry.probedUntil || now < probeAllowedAt(entry) || isQuarantined(entry, now))
+        return false;
+    entry.probedUntil = until;
+    return true;
+}
+
+void Quarantine::endProbe(Fingerprint fingerprint, base::TimePoint now)
+{
+    if (const auto found = entries_.find(fingerprint); found != entries_.end())
+        found->second.probedUntil = now + CrashDetectionTime;
+}
+
+base::Duration Quarantine::retryAfter(Fingerprint fingerprint, base::TimePoint now) const
+{
+    const auto found = entries_.find(fingerprint);
+    if (found == entries_.end())
+        return base::Duration::zero();
+    const Entry& entry = found->second;
+    const base::TimePoint allowedAt
+        = isQuarantined(entry, now) ? entry.changedAt + settings_.quarantineTime : probeAllowedAt(entry);
+    return std::max(allowedAt - now, CrashDetectionTime);
+}
+
+void Quarantine::setKnownSafe(Fingerprint fingerprint)
+{
+    if (settings_.knownSafeCapacity == 0)
+        return;
     if (const auto safe = knownSafeIndex_.find(fingerprint); safe != knownSafeIndex_.end()) {
         knownSafe_.splice(knownSafe_.begin(), knownSafe_, safe->second);
         return;
@@ -67,35 +146,24 @@
     knownSafe_.pop_back();
 }
 
-bool Quarantine::isQuarantined(Fingerprint fingerprint, base::TimePoint now)
-{
-    const auto found = evidence_.find(fingerprint);
-    if (found == evidence_.end())
-        return false;
-    if (now - found->second.lastCrashAt >= settings_.retention) {
-        evidence_.erase(found);
-        return false;
-    }
-    return found->second.upstreams.size() >= settings_.crashThreshold;
-}
-
-std::size_t Quarantine::crashCount(Fingerprint fingerprint) const
+std::size_t Quarantine::suspectedCount() const
 {
-    const auto found = evidence_.find(fingerprint);
-    return found == evidence_.end() ? 0 : found->second.upstreams.size();
+    return static_cast<std::size_t>(
+        std::ranges::count_if(entries_, [](const auto& entry) { return entry.second.record.crashes > 0; }));
 }
 
-std::size_t Quarantine::quarantinedCount() const
+std::size_t Quarantine::quarantinedCount(base::TimePoint now) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        evidence_, [&](const auto& entry) { return entry.second.upstreams.size() >= settings_.crashThreshold; }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(entries_, [&](const auto& entry) { return isQuarantined(entry.second, now); }));
 }
 
 void Quarantine::expire(base::TimePoint now)
 {
-    while (!recentCrashes_.empty() && now - recentCrashes_.front().at >= settings_.massFailureWindow)
-        recentCrashes_.pop_front();
-    std::erase_if(evidence_, [&](const auto& entry) { return now - entry.second.lastCrashAt >= settings_.retention; });
+    if (now < nextExpiry_)
+        return;
+    nextExpiry_ = now + ExpiryInterval;
+    std::erase_if(entries_, [&](const auto& entry) { return now - entry.second.changedAt >= settings_.retention; });
 }
 
 } // namespace flamingousher::quarantine
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -1,72 +1,78 @@
 #pragma once
 
-#include "base/types.h"
+#include "quarantine/types.h"
 
-#include <cstdint>
-#include <deque>
 #include <list>
-#include <set>
-#include <string>
+#include <optional>
 #include <unordered_map>
 
 namespace flamingousher::quarantine {
 
-using Fingerprint = std::uint64_t;
+// Detects requests that crash the upstreams that run them, by the crashes in a row without any response.
+//
+// Load pattern: a request ends every upstream that runs it, comes again and again at any VM, and a request over many
+// shards ends all of them at once. Upstreams also end for other reasons, many at the same moment, with innocent
+// requests in progress. Such a loss counts once, because an attempt is measured by what was known when it was sent: one
+// that was sent with n crashes known makes them n + 1, however many others end with it. An innocent request is cleared
+// by its first response, and would have to lose each probe to another cause to be refused. Performs no I/O.
+class Quarantine {
+public:
+    explicit Quarantine(QuarantineSettings);
 
-struct QuarantineSettings {
-    std::size_t crashThreshold { 2 }; // crashes of distinct upstreams
-    base::Duration retention { std::chrono::minutes(10) }; // of crash evidence and of the quarantine
-    std::size_t capacity { 4'096 }; // maximum number of fingerprints with evidence
-    std::size_t knownSafeCapacity { 65'536 }; // maximum number of fingerprints known as safe
+    // Returns the number of crashes known now, to be passed to onCrash() if an attempt that is sent now ends badly.
+    std::uint32_t crashes(Fingerprint) const;
 
-    // If this many upstreams are lost within the window, the cause is not a request, and no evidence is kept.
-    std::size_t massFailureUpstreams { 4 };
-    base::Duration massFailureWindow { std::chrono::seconds(2) };
+    // Records that an upstream has ended while it ran an attempt. crashesWhenSent: what was known when the attempt was
+    // sent. Returns the record if it is news to the other nodes.
+    std::optional<CrashRecord> onCrash(
+        Fingerprint, std::uint32_t crashesWhenSent, const std::string& upstream, base::TimePoint now);
 
-    bool operator==(const QuarantineSettings&) const = default;
-};
+    // Records that an upstream has responded. Returns the record if this clears a suspicion.
+    std::optional<CrashRecord> onAnswered(Fingerprint, base::TimePoint now);
 
-// Detects requests that crash the upstreams that run them. The loss of an upstream that was running a request is
-// evidence against the request; a response marks the request as safe. Performs no I/O.
-class Quarantine {
-public:
-    explicit Quarantine(QuarantineSettings);
+    // Takes over a record of another node. Returns whether it is news.
+    bool merge(const CrashRecord&, base::TimePoint changedAt);
 
-    void onCrash(Fingerprint, const std::string& upstream, base::TimePoint now);
+    Verdict verdict(Fingerprint, base::TimePoint now);
+    bool isQuarantined(Fingerprint fingerprint, base::TimePoint now)
+    {
+        return verdict(fingerprint, now) == Verdict::Quarantined;
+    }
 
-    // Marks the request as safe after a response from an upstream.
-    void onAnswered(Fingerprint);
+    // Starts a probe of a suspected request. Returns false while another probe is in progress or the last crash is too
+    // recent. until: end of the probe, unless endProbe() is called before.
+    bool beginProbe(Fingerprint, base::TimePoint now, base::TimePoint until);
 
-    bool isQuarantined(Fingerprint, base::TimePoint now);
+    // Ends a probe. The next one has to wait until a crash of this one's upstream would have been noticed.
+    void endProbe(Fingerprint, base::TimePoint now);
 
-    // Returns whether an upstream has responded to the request before, so that it may be sent without a canary.
-    bool isKnownSafe(Fingerprint fingerprint) const { return knownSafeIndex_.contains(fingerprint); }
+    // Returns the time until the request may be sent again.
+    base::Duration retryAfter(Fingerprint, base::TimePoint now) const;
 
-    // Returns the number of distinct upstreams that were lost while running the request.
-    std::size_t crashCount(Fingerprint) const;
+    // Returns whether an upstream has responded to the request since its last crash, so that it may be sent to many
+    // upstreams at once. Only the most recent ones are remembered.
+    bool isKnownSafe(Fingerprint fingerprint) const { return knownSafeIndex_.contains(fingerprint); }
 
-    std::size_t evidenceCount() const { return evidence_.size(); }
-    std::size_t quarantinedCount() const;
+    // Number of requests suspected or quarantined.
+    std::size_t suspectedCount() const;
+    std::size_t quarantinedCount(base::TimePoint now) const;
 
 private:
-    struct Evidence {
-        std::set<std::string> upstreams;
-        base::TimePoint lastCrashAt;
-    };
-
-    struct Crash {
-        base::TimePoint at;
-        Fingerprint fingerprint;
-        std::string upstream;
+    struct Entry {
+        CrashRecord record;
+        base::TimePoint changedAt;
+        base::TimePoint probedUntil;
     };
 
+    Entry& add(Fingerprint, base::TimePoint now);
+    bool isQuarantined(const Entry&, base::TimePoint now) const;
+    base::TimePoint probeAllowedAt(const Entry&) const;
     void expire(base::TimePoint now);
-    bool isMassFailure() const;
-    void removeRecentEvidence();
+    void setKnownSafe(Fingerprint);
 
     QuarantineSettings settings_;
-    std::unordered_map<Fingerprint, Evidence> evidence_;
-    std::deque<Crash> recentCrashes_; // crashes within the mass-failure window
+    std::unordered_map<Fingerprint, Entry> entries_;
+    base::TimePoint nextExpiry_;
     std::list<Fingerprint> knownSafe_; // most recently confirmed first
     std::unordered_map<Fingerprint, std::list<Fingerprint>::iterator> knownSafeIndex_;
 };
--- a/src/traffic/internal/activequery.cpp
+++ b/src/traffic/internal/activequery.cpp
@@ -92,14 +92,15 @@
 void ActiveQuery::send(const query::SendSubRequest& action)
 {
     const base::TimePoint now = context_.now();
-    sent_.emplace(action.id, Sent { action.upstream, action.target, now });
+    sent_.emplace(action.id, Sent { action.upstream, action.target, now, context_.quarantine.crashes(fingerprint_) });
     context_.chooser.onSent(action.upstream, request_->route().rank);
     if (!action.isHedge)
         extraAttemptPolicy_.onFirstAttempt();
     request_->recordEvent(action.isHedge ? EventKind::Hedged : EventKind::Sent, action.target.shard, action.upstream);
     transport::SubRequest subRequest { action.id, action.upstream, request_->route().rank, request_->caller(),
         std::min(spec_.deadline, now + transport::MaxSubRequestDuration), fingerprint_,
-        transport::SearchCall { action.target, text_, static_cast<std::uint32_t>(spec_.resultLimit) } };
+        transport::SearchCall { action.target, text_, static_cast<std::uint32_t>(spec_.resultLimit) },
+        sent_.at(action.id).knownCrashes };
     context_.dispatcher.submit(
         std::move(subRequest), [self = shared_from_this(), id = action.id](transport::SubResult result) {
             self->onResult(id, std::move(result));
@@ -145,7 +146,7 @@
     context_.chooser.onAnswered(sent.upstream, request_->route().rank, result.queued, now - sent.at);
     extraAttemptPolicy_.onAnswered(now - sent.at);
     request_->recordEvent(EventKind::Answered, sent.target.shard, sent.upstream);
-    context_.quarantine.onAnswered(fingerprint_);
+    context_.onAnswered(fingerprint_);
     apply(query_.onAnswer(id, std::get<query::SubAnswer>(std::move(*result.value)), now));
 }
 
@@ -157,7 +158,7 @@
         extraAttemptPolicy_.onShed(context_.now());
     }
     if (error.code == ErrorCode::UpstreamCrashed)
-        context_.quarantine.onCrash(fingerprint_, context_.directory.at(sent.upstream).name, context_.now());
+        context_.onCrash(fingerprint_, sent.knownCrashes, sent.upstream);
     if (error.code == ErrorCode::VersionNotServed)
         pool_.catalog.removeVersion(sent.upstream, sent.target.version);
     if (error.code == ErrorCode::Draining)
--- a/src/traffic/internal/activequery.h
+++ b/src/traffic/internal/activequery.h
@@ -35,6 +35,7 @@
         query::UpstreamId upstream { 0 };
         query::ServedShard target;
         base::TimePoint at;
+        std::uint32_t knownCrashes { 0 }; // of the request, at that time
     };
 
     query::QueryHooks makeHooks();
--- a/src/traffic/internal/servicehandler.cpp
+++ b/src/traffic/internal/servicehandler.cpp
@@ -153,8 +153,9 @@
     CallerRequest& request, const transport::ServiceCall& call, query::UpstreamId upstream)
 {
     const base::TimePoint sentAt = context_.now();
+    const std::uint32_t knownCrashes = context_.quarantine.crashes(request.fingerprint());
     transport::SubRequest subRequest { context_.nextId(), upstream, request.route().rank, request.caller(),
-        request.deadline() - ReplyMargin, request.fingerprint(), call };
+        request.deadline() - ReplyMargin, request.fingerprint(), call, knownCrashes };
     auto signal = std::make_shared<runtime::Signal>();
     auto result = std::make_shared<transport::SubResult>();
     context_.chooser.onSent(upstream, request.route().rank);
@@ -166,14 +167,14 @@
     signal->wait();
     if (result->value) {
         context_.chooser.onAnswered(upstream, request.route().rank, result->queued, context_.now() - sentAt);
-        context_.quarantine.onAnswered(request.fingerprint());
+        context_.onAnswered(request.fingerprint());
         request.recordEvent(EventKind::Answered, 0, upstream);
         return std::get<transport::ServiceAnswer>(std::move(*result->value));
     }
     const Error& error = result->value.error();
     request.recordEvent(EventKind::Failed, 0, upstream, error);
     if (error.code == ErrorCode::UpstreamCrashed)
-        context_.quarantine.onCrash(request.fingerprint(), context_.directory.at(upstream).name, context_.now());
+        context_.onCrash(request.fingerprint(), knownCrashes, upstream);
     context_.chooser.onError(upstream, request.route().rank, error, context_.now());
     return tl::unexpected(error);
 }
--- a/src/traffic/internal/trafficstate.cpp
+++ b/src/traffic/internal/trafficstate.cpp
@@ -55,13 +55,13 @@
     , index(threadIndex)
     , context(io, formatIncarnation(peerIdentity.self.id.boot, threadIndex),
           threadEndpoint(peerIdentity.self, threadIndex), peerIdentity.self.id.boot, std::random_device {}())
-    , onCrash(std::move(crashListener))
     , handler(context)
     , ownedUpstreams(io, context.directory, context.incarnation, makeOwnedUpstreamsHooks())
     , peerServer(io, identity, peerCounters, makePeerServerHooks())
     , server(io, {},
           [this](const http::Request& request, http::Exchange& exchange) { return handler.handle(request, exchange); })
 {
+    context.reportCrash = std::move(crashListener);
     context.dispatcher = {
         [this](transport::SubRequest request, transport::SubCallback callback) {
             dispatch(std::move(request), std::move(callback));
@@ -106,8 +106,8 @@
             updateStatus(id, status);
             peerServer.publishStatus({ context.directory.at(id).name, status });
         },
-        [this](query::UpstreamId id, std::uint64_t fingerprint) {
-            onCrash({ fingerprint, context.directory.at(id).name, identity.self.id.boot });
+        [this](query::UpstreamId id, const transport::SubRequest& request) {
+            context.onCrash(request.fingerprint, request.knownCrashes, id);
         },
         [this](const tables::Upstream& upstream) {
             tables::Upstream limited = upstream;
@@ -387,8 +387,8 @@
         { "upstreams", std::move(upstreams) },
         { "peers", std::move(peerLinks) },
         { "identities_outstanding", context.identities.outstanding() },
-        { "crash_evidence", context.quarantine.evidenceCount() },
-        { "quarantined", context.quarantine.quarantinedCount() },
+        { "crash_evidence", context.quarantine.suspectedCount() },
+        { "quarantined", context.quarantine.quarantinedCount(context.now()) },
     });
 }
 
@@ -416,7 +416,7 @@
     gauge("silent_connections_dropped", "Unresponsive connections to upstreams that were closed.", sum.silentDropped);
     gauge("identities_outstanding", "Issued identities that have not expired.", context.identities.outstanding());
     gauge("quarantined_requests", "Requests in quarantine because they crash upstreams.",
-        context.quarantine.quarantinedCount());
+        context.quarantine.quarantinedCount(context.now()));
     gauge("caller_connections", "Open connections from callers.", server.counters().open);
     gauge("malformed_requests", "Malformed or oversized requests from callers.",
         server.counters().malformedRequests + server.counters().oversizedRequests);
--- a/src/traffic/internal/trafficstate.h
+++ b/src/traffic/internal/trafficstate.h
@@ -50,7 +50,6 @@
     const peers::PeerIdentity& identity;
     std::uint32_t index;
     TrafficContext context;
-    CrashListener onCrash;
     std::shared_ptr<const OwnershipView> view;
     std::map<std::string, query::UpstreamId> idsByName; // upstreams of the current tables
     base::TimePoint firstTablesAt;
--- a/src/traffic/ownedupstreams.h
+++ b/src/traffic/ownedupstreams.h
@@ -21,7 +21,7 @@
     struct Hooks {
         std::function<base::TimePoint()> now;
         std::function<void(query::UpstreamId, const transport::UpstreamStatus&)> onStatus;
-        std::function<void(query::UpstreamId, std::uint64_t fingerprint)> onCrash;
+        std::function<void(query::UpstreamId, const transport::SubRequest&)> onCrash;
 
         // Returns the upstream with its slots and connections limited to the share of this owner.
         std::function<tables::Upstream(const tables::Upstream&)> limitToShare;
--- a/src/traffic/tests/ownedupstreamstests.cpp
+++ b/src/traffic/tests/ownedupstreamstests.cpp
@@ -50,7 +50,8 @@
               [this](const http::Request& request, http::Exchange&) { return respond(request); })
         , ownedUpstreams_(io, directory_, "boot",
               { [] { return std::chrono::steady_clock::now(); },
-                  [](query::UpstreamId, const transport::UpstreamStatus&) {}, [](query::UpstreamId, std::uint64_t) {},
+                  [](query::UpstreamId, const transport::UpstreamStatus&) {},
+                  [](query::UpstreamId, const transport::SubRequest&) {},
                   [](const tables::Upstream& upstream) { return upstream; } })
     {
         server_.listen(http::Endpoint(boost::asio::ip::make_address("127.0.0.1"), port));
--- a/src/traffic/trafficcontext.cpp
+++ b/src/traffic/trafficcontext.cpp
@@ -8,6 +8,9 @@
 
     constexpr std::size_t MaxRecords = 1'000;
 
+    // A request that no upstream has answered yet runs on one at a time, so that two crashes cannot be one event.
+    constexpr std::uint32_t QuarantineThreshold = 2;
+
 } // namespace
 
 TrafficContext::TrafficContext(boost::asio::io_context& ioContext, const std::string& incarnationText,
@@ -18,11 +21,26 @@
     , random(seed)
     , chooser({ [this](std::size_t bound) { return random() % bound; }, [](query::UpstreamId) { return 1.0; } })
     , identities(identityEndpoint, boot, {}, [this] { return random(); })
-    , quarantine({})
+    , quarantine({ .threshold = QuarantineThreshold })
     , records(MaxRecords)
 {
 }
 
+void TrafficContext::onCrash(
+    quarantine::Fingerprint fingerprint, std::uint32_t crashesWhenSent, query::UpstreamId upstream)
+{
+    const auto record = quarantine.onCrash(fingerprint, crashesWhenSent, directory.at(upstream).name, now());
+    if (record && reportCrash)
+        reportCrash(*record);
+}
+
+void TrafficContext::onAnswered(quarantine::Fingerprint fingerprint)
+{
+    const auto record = quarantine.onAnswered(fingerprint, now());
+    if (record && reportCrash)
+        reportCrash(*record);
+}
+
 std::shared_ptr<PoolState> TrafficContext::pool(const std::string& name) const
 {
     const auto found = pools.find(name);
--- a/src/traffic/trafficcontext.h
+++ b/src/traffic/trafficcontext.h
@@ -48,6 +48,7 @@
     std::map<std::string, std::shared_ptr<PoolState>> pools;
     identity::IdentityRegistry identities;
     quarantine::Quarantine quarantine;
+    std::function<void(const quarantine::CrashRecord&)> reportCrash; // to the other threads and nodes
     accounts::RecordStore records;
     metrics::Registry metrics;
     Dispatcher dispatcher;
@@ -56,6 +57,11 @@
     // Returns a number that is unique within this incarnation.
     std::uint64_t nextId() { return ++lastId; }
 
+    // Record that an upstream has ended while it ran a request, or has responded to it, and tell the other threads and
+    // nodes.
+    void onCrash(quarantine::Fingerprint, std::uint32_t crashesWhenSent, query::UpstreamId);
+    void onAnswered(quarantine::Fingerprint);
+
     // Returns null if the tables have no such pool. Work in progress keeps a removed pool alive.
     std::shared_ptr<PoolState> pool(const std::string& name) const;
 
--- a/src/traffic/trafficthread.cpp
+++ b/src/traffic/trafficthread.cpp
@@ -70,11 +70,9 @@
     return thread_.call([this] { return state_->ownedUpstreams.closingUpstreams(); });
 }
 
-void TrafficThread::addCrashEvidence(const fleet::CrashEvidence& evidence)
+void TrafficThread::mergeCrashRecord(const quarantine::CrashRecord& record, base::TimePoint changedAt)
 {
-    thread_.post([this, evidence] {
-        state_->context.quarantine.onCrash(evidence.fingerprint, evidence.upstream, state_->context.now());
-    });
+    thread_.post([this, record, changedAt] { state_->context.quarantine.merge(record, changedAt); });
 }
 
 bool TrafficThread::isReady()
--- a/src/traffic/trafficthread.h
+++ b/src/traffic/trafficthread.h
@@ -19,8 +19,8 @@
 // The functions are called from the control thread.
 class TrafficThread {
 public:
-    // Called on the traffic thread when an upstream has crashed while running a request.
-    using CrashListener = std::function<void(const fleet::CrashEvidence&)>;
+    // Called on the traffic thread when it knows more of a request that crashes upstreams.
+    using CrashListener = std::function<void(const quarantine::CrashRecord&)>;
 
     TrafficThread(const settings::DaemonSettings&, const peers::PeerIdentity&, std::uint32_t index, CrashListener);
     ~TrafficThread();
@@ -36,8 +36,8 @@
     // Returns the upstreams that this thread no longer owns but that still have work in flight.
     std::set<std::string> closingUpstreams();
 
-    // Records evidence of a crash detected by another node or thread.
-    void addCrashEvidence(const fleet::CrashEvidence&);
+    // Takes over what another node or thread knows of a request that crashes upstreams.
+    void mergeCrashRecord(const quarantine::CrashRecord&, base::TimePoint changedAt);
 
     // Returns whether the served index versions of every search pool are known.
     bool isReady();
--- a/src/transport/tests/upstreamlinktests.cpp
+++ b/src/transport/tests/upstreamlinktests.cpp
@@ -39,7 +39,7 @@
         server_->listen(http::Endpoint(boost::asio::ip::make_address(upstream_.address), port));
         link_ = std::make_shared<UpstreamLink>(io, 0, upstream_, upstreams::QueueSettings { Slots }, "boot",
             LinkHooks {
-                now, [](UpstreamId, const UpstreamStatus&) {}, [this](UpstreamId, std::uint64_t) { ++crashes_; } });
+                now, [](UpstreamId, const UpstreamStatus&) {}, [this](UpstreamId, const SubRequest&) { ++crashes_; } });
     }
 
     void submit(SubRequestId id, milliseconds lifetime = milliseconds(20'000))
--- a/src/transport/types.h
+++ b/src/transport/types.h
@@ -48,6 +48,7 @@
     base::TimePoint deadline;
     std::uint64_t fingerprint { 0 }; // fingerprint of the caller's request
     std::variant<SearchCall, ServiceCall> call;
+    std::uint32_t knownCrashes { 0 }; // of the fingerprint, when it was sent
 
     bool operator==(const SubRequest&) const = default;
 };
--- a/src/transport/upstreamlink.cpp
+++ b/src/transport/upstreamlink.cpp
@@ -309,7 +309,7 @@
         return;
     ++counters_.lost;
     if (isCrash)
-        hooks_.onCrash(id_, pending.request.fingerprint);
+        hooks_.onCrash(id_, pending.request);
 }
 
 void UpstreamLink::cancel(SubRequestId id)
--- a/src/transport/upstreamlink.h
+++ b/src/transport/upstreamlink.h
@@ -23,7 +23,7 @@
     std::function<void(UpstreamId, const UpstreamStatus&)> onStatus;
 
     // Called when the connection was lost during a sub-request and the upstream refuses new connections.
-    std::function<void(UpstreamId, std::uint64_t fingerprint)> onCrash;
+    std::function<void(UpstreamId, const SubRequest&)> onCrash;
 };
 
 struct LinkCounters {
--- a/src/upstreamclient/types.h
+++ b/src/upstreamclient/types.h
@@ -22,6 +22,7 @@
     std::string requestId;
     std::string head; // request line and the header fields that all attempts share, without the empty line
     std::string body;
+    std::uint64_t fingerprint { 0 }; // equal for requests for the same work of the same caller
 };
 
 enum class ReplyKind : std::uint8_t {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -61,11 +61,15 @@
             member->refutation = update.refutation;
             packed->members.push_back(std::move(member));
         }
-        for (const fleet::CrashEvidence& evidence : gossip.crashes) {
-            auto crash = std::make_unique<fb::CrashEvidenceT>();
-            crash->fingerprint = evidence.fingerprint;
-            crash->upstream = evidence.upstream;
-            crash->reporter = evidence.reporter;
+        packed->crash_digest = gossip.crashDigest;
+        for (const fleet::CrashReport& report : gossip.crashes) {
+            auto crash = std::make_unique<fb::CrashRecordT>();
+            crash->fingerprint = report.record.fingerprint;
+            crash->upstream = report.record.upstream;
+            crash->version = report.record.version;
+            crash->crashes = report.record.crashes;
+            crash->age_ms
+                = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(report.age).count());
             packed->crashes.push_back(std::move(crash));
         }
         return packed;
@@ -85,8 +89,11 @@
         }
         for (const auto& member : packed->members)
             gossip.members.push_back({ unpack(member->node), toMemberState(member->state), member->refutation });
-        for (const auto& crash : packed->crashes)
-            gossip.crashes.push_back({ crash->fingerprint, crash->upstream, crash->reporter });
+        gossip.crashDigest = packed->crash_digest;
+        for (const auto& crash : packed->crashes) {
+            gossip.crashes.push_back({ { crash->fingerprint, crash->version, crash->crashes, crash->upstream },
+                std::chrono::milliseconds(crash->age_ms) });
+        }
         return gossip;
     }
 
@@ -202,6 +209,7 @@
         packed->caller = request.caller;
         packed->remaining_us = toMicroseconds(remote.remaining);
         packed->fingerprint = request.fingerprint;
+        packed->known_crashes = request.knownCrashes;
         if (const auto* search = std::get_if<transport::SearchCall>(&request.call)) {
             packed->is_search = true;
             packed->version = search->target.version;
@@ -229,6 +237,7 @@
         remote.request.rank = static_cast<base::Rank>(std::min<std::uint8_t>(packed.rank, base::RankCount - 1));
         remote.request.caller = packed.caller;
         remote.request.fingerprint = packed.fingerprint;
+        remote.request.knownCrashes = packed.known_crashes;
         if (packed.is_search) {
             remote.request.call
                 = transport::SearchCall { { packed.version, packed.shard, packed.shards }, packed.text, packed.limit };
--- a/tests/crashing-request-test.sh
+++ b/tests/crashing-request-test.sh
@@ -37,9 +37,9 @@
     [ -n "$unserved" ] && [ $((100 * unserved)) -le "$(value "$1" innocent)" ]
 }
 
-run_together service gather unsafe killed
+run_together service gather delegated unsafe killed
 run_together rare return restart frozen
-for scenario in service gather unsafe rare return restart frozen; do
+for scenario in service gather delegated unsafe rare return restart frozen; do
     echo "$scenario: $(tr '\n' ' ' <"$work/$scenario.txt")"
     check "$scenario: a request that crashes searchers reaches three more at most" \
         is_at_most "$(value $scenario late_arrivals)" $max_late_arrivals
--- a/tests/crashingrequest/main.cpp
+++ b/tests/crashingrequest/main.cpp
@@ -21,7 +21,7 @@
 
 DEFINE_string(daemon, "", "Path of flamingousherd.");
 DEFINE_string(folder, "", "Folder for settings and logs.");
-DEFINE_string(scenario, "service", "service, gather, unsafe, rare, return, restart, frozen or killed.");
+DEFINE_string(scenario, "service", "service, gather, delegated, unsafe, rare, return, restart, frozen or killed.");
 DEFINE_uint32(slot, 190, "Loopback addresses are 127.(10 + slot).x.y; runs at the same time need different slots.");
 DEFINE_uint64(seed, 1, "Seed of the VMs that get the requests.");
 DEFINE_string(searcher, "", "Runs a searcher with this id; for this program's own processes.");
@@ -84,9 +84,9 @@
         for (std::size_t vm = 0; vm < 3; ++vm)
             seeds.push_back(endpoint(1, vm, soak::GossipPort));
         for (std::size_t vm = 0; vm < VmCount; ++vm) {
-            vms_.push_back(
-                std::make_unique<soak::VmProcess>(soak::VmSpec { FLAGS_daemon, FLAGS_folder, "vm-" + std::to_string(vm),
-                    address(1, vm), vm % 2 == 0 ? "a" : "b", *http::parseEndpoint(endpoint(3, 0, StorePort)), seeds }));
+            vms_.push_back(std::make_unique<soak::VmProcess>(
+                soak::VmSpec { FLAGS_daemon, FLAGS_folder, "vm-" + std::to_string(vm), address(1, vm),
+                    vm % 2 == 0 ? "a" : "b", *http::parseEndpoint(endpoint(3, 0, StorePort)), seeds, processor(vm) }));
             vms_.back()->start();
         }
         runtime::spawnFiber([this] { searchers_.keepRunning(); });
@@ -203,11 +203,20 @@
         return configuration;
     }
 
+    // Half of the VMs delegate requests over many shards to the others if they are much smaller.
+    static double processor(std::size_t vm)
+    {
+        if (FLAGS_scenario != "delegated")
+            return 0;
+        return vm < VmCount / 2 ? 0.5 : 0.12;
+    }
+
     std::string prefix() const
     {
         if (FLAGS_scenario == "unsafe")
             return "/unsafe/";
-        return FLAGS_scenario == "gather" || FLAGS_scenario == "rare" ? "/all/" : "/one/";
+        const bool isGather = FLAGS_scenario == "gather" || FLAGS_scenario == "delegated" || FLAGS_scenario == "rare";
+        return isGather ? "/all/" : "/one/";
     }
 
     Outcome send(std::size_t vm, const std::string& target, const std::string& id)
