--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -143,6 +143,11 @@
         [this](const base::Error& error) { controller_->onStoreUnavailable(error); },
         [this](const Source&) { controller_->onStoreAvailable(); },
         [this](const base::Error& error) { controller_->onDecodeError(error); },
+        [this](const platform::StorePosition& before, const platform::StorePosition& after) {
+            log_.writeChange("store_restored",
+                { { "era", after.era }, { "era_before", before.era }, { "revision", after.revision },
+                    { "revision_before", before.revision }, { "version", controller_->version() } });
+        },
     };
 }
 
