Name a state of the store by era and revision

Cause: revisions were compared across two eras of the store, in the watcher, the mirror, the relays, and in what VMs tell each other. The revisions given out again were taken for old ones, so pages were refused and items skipped, those in the gap for good.

--- a/src/control/directcontroller.cpp
+++ b/src/control/directcontroller.cpp
@@ -27,14 +27,16 @@
 
 void DirectController::onConfiguration(const routing::Configuration& configuration)
 {
-    if (configuration.version <= version_) {
+    const bool isRewritten = mayBeRewritten_ && configuration.version == version_ && configuration != *configuration_;
+    if (configuration.version <= version_ && !isRewritten) {
         if (configuration.version < version_)
             log_.writeChange("configuration_older", { { "version", configuration.version }, { "in_force", version_ } });
         return;
     }
     const std::uint64_t before = std::exchange(version_, configuration.version);
-    hooks_.applyRoutes(
-        std::make_shared<const routing::RouteTable>(std::make_shared<const routing::Configuration>(configuration)));
+    mayBeRewritten_ = mayBeRewritten_ && isRewritten;
+    configuration_ = std::make_shared<const routing::Configuration>(configuration);
+    hooks_.applyRoutes(std::make_shared<const routing::RouteTable>(configuration_));
     log_.writeChange("configuration",
         { { "version", version_ }, { "before", before }, { "routes", configuration.routes.size() },
             { "services", configuration.services.size() } });
@@ -67,6 +69,12 @@
     log_.writeChange("store_regained", { { "version", version_ } });
 }
 
+void DirectController::onStoreRestored()
+{
+    mayBeRewritten_ = configuration_ != nullptr;
+    registry_.onStoreRestored(hooks_.now());
+}
+
 void DirectController::onDecodeError(const base::Error& error)
 {
     ++decodeErrors_;
--- a/src/control/directcontroller.h
+++ b/src/control/directcontroller.h
@@ -23,13 +23,17 @@
 
     DirectController(eventlog::EventLog&, Hooks);
 
-    // Ignores versions that are not newer than the one in force.
+    // Ignores versions that are not newer than the one in force. After the store has come back from an older copy, the
+    // version in force may be written again with other contents.
     void onConfiguration(const routing::Configuration&);
     void onAllUpstreams(const std::vector<discovery::UpstreamEntry>&);
     void onUpstream(const discovery::UpstreamEntry&);
     void onUpstreamRemoved(const std::string& id);
     void onStoreUnavailable(const base::Error&);
     void onStoreAvailable();
+
+    // Called when the store has come back from an older copy: what is missing there is written again soon.
+    void onStoreRestored();
     void onDecodeError(const base::Error&);
 
     // Applies the upstream changes received since the last call.
@@ -50,6 +54,8 @@
     Hooks hooks_;
     discovery::Registry registry_;
     std::uint64_t version_ { 0 };
+    std::shared_ptr<const routing::Configuration> configuration_; // in force
+    bool mayBeRewritten_ { false }; // the version in force, since the store was restored
     std::uint64_t publishedChangeCount_ { 0 };
     std::uint64_t decodeErrors_ { 0 };
     std::size_t unpublishedChanges_ { 0 }; // since the last publication
--- a/src/control/fleetmember.cpp
+++ b/src/control/fleetmember.cpp
@@ -49,9 +49,7 @@
     , random_(std::random_device {}())
     , membership_(identity.self, membershipSettings(),
           { [this] { return random_(); }, [this] { onMembershipChange(); },
-              [this](const fleet::NodeInfo& from, const fleet::ConfigurationId& id) {
-                  hooks_.onRevision(from, id.revision);
-              },
+              [this](const fleet::NodeInfo& from, const fleet::ConfigurationId& id) { hooks_.onStoreState(from, id); },
               [this](const quarantine::CrashRecord& record, base::TimePoint changedAt) {
                   hasCrashNews_ = true;
                   hooks_.onCrash(record, changedAt);
@@ -132,12 +130,12 @@
     membership_.setSeeds(endpoints);
 }
 
-void FleetMember::setRevision(std::uint64_t revision, bool immediate)
+void FleetMember::setStoreState(const fleet::ConfigurationId& state, bool immediate)
 {
-    if (revision <= revision_)
+    if (state <= storeState_)
         return;
-    revision_ = revision;
-    membership_.setConfiguration({ revision, 0 });
+    storeState_ = state;
+    membership_.setConfiguration(state);
     if (immediate)
         send(membership_.gossipNow(NewsFanOut));
 }
--- a/src/control/fleetmember.h
+++ b/src/control/fleetmember.h
@@ -24,8 +24,8 @@
         // missing.
         std::function<void(const std::vector<fleet::NodeInfo>&)> onFirstMembers;
 
-        // Called when another VM reports the store revision that it holds.
-        std::function<void(const fleet::NodeInfo& from, std::uint64_t revision)> onRevision;
+        // Called when another VM reports the state of the store that it holds, by era and revision.
+        std::function<void(const fleet::NodeInfo& from, const fleet::ConfigurationId&)> onStoreState;
 
         // Called when another VM knows more of a request that crashes upstreams.
         std::function<void(const quarantine::CrashRecord&, base::TimePoint changedAt)> onCrash;
@@ -40,8 +40,8 @@
 
     void setSeeds(const std::vector<std::string>& endpoints);
 
-    // Sets the store revision that this VM holds; with immediate also gossips it to a few VMs at once.
-    void setRevision(std::uint64_t, bool immediate);
+    // Sets the state of the store that this VM holds; with immediate also gossips it to a few VMs at once.
+    void setStoreState(const fleet::ConfigurationId&, bool immediate);
 
     // Tells the other VMs of a request that crashes upstreams, a few of them at once.
     void reportCrash(const quarantine::CrashRecord&);
@@ -65,7 +65,7 @@
     std::mt19937_64 random_;
     fleet::Membership membership_;
     peers::FleetTransport transport_;
-    std::uint64_t revision_ { 0 };
+    fleet::ConfigurationId storeState_;
     std::uint64_t upChangeCount_ { 0 };
     bool haveMembersChanged_ { false };
     bool hasCrashNews_ { false }; // received and not passed on yet
--- a/src/control/tests/directcontrollertests.cpp
+++ b/src/control/tests/directcontrollertests.cpp
@@ -77,3 +77,19 @@
     harness.controller.tick();
     cr_assert_eq(harness.upstreamCounts, (std::vector<std::size_t> { 1, 0 }));
 }
+
+// Fault: the store has come back from an older copy, which lists an older version until the operators write again.
+Test(DirectController, keepsConfigurationOfBeforeARestoration)
+{
+    Harness harness;
+    harness.controller.onConfiguration({ .version = 9 });
+    harness.controller.onStoreRestored();
+    harness.controller.onConfiguration({ .version = 6 });
+    harness.controller.onConfiguration({ .version = 9 });
+    cr_expect_eq(harness.versions, (std::vector<std::uint64_t> { 9 }));
+    harness.controller.onConfiguration({ .version = 9, .services = { { "s", 7 } } });
+    cr_expect_eq(harness.versions, (std::vector<std::uint64_t> { 9, 9 }), "written again with other contents");
+    harness.controller.onConfiguration({ .version = 11 });
+    harness.controller.onConfiguration({ .version = 11, .services = { { "s", 7 } } });
+    cr_expect_eq(harness.versions, (std::vector<std::uint64_t> { 9, 9, 11 }));
+}
--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -147,6 +147,7 @@
             log_.writeChange("store_restored",
                 { { "era", after.era }, { "era_before", before.era }, { "revision", after.revision },
                     { "revision_before", before.revision }, { "version", controller_->version() } });
+            controller_->onStoreRestored();
         },
     };
 }
@@ -165,7 +166,7 @@
 {
     controller_->publish();
     relay_->onChanged();
-    fleet_->setRevision(watcher_->revision(), source.isStore);
+    fleet_->setStoreState(storeState(), source.isStore);
 }
 
 control::FleetMember::Hooks VmDaemon::makeFleetHooks()
@@ -173,7 +174,7 @@
     return {
         [this](const std::vector<fleet::NodeInfo>& vms) { onFleetView(vms); },
         [this](const std::vector<fleet::NodeInfo>& vms) { entry_.applyFirstMembers(vms, fleet_->self()); },
-        [this](const fleet::NodeInfo& from, std::uint64_t revision) { onPeerRevision(from, revision); },
+        [this](const fleet::NodeInfo& from, const fleet::ConfigurationId& state) { onPeerState(from, state); },
         [this](const quarantine::CrashRecord& record, base::TimePoint changedAt) {
             entry_.mergeCrashRecord(record, changedAt);
         },
@@ -187,18 +188,23 @@
     entry_.applyFleet(vms, fleet_->self());
 }
 
-void VmDaemon::onPeerRevision(const fleet::NodeInfo& from, std::uint64_t revision)
+fleet::ConfigurationId VmDaemon::storeState() const
 {
-    if (revision <= watcher_->revision() || std::exchange(isCatchingUp_, true))
+    return { watcher_->position().revision, 0, watcher_->position().era };
+}
+
+void VmDaemon::onPeerState(const fleet::NodeInfo& from, const fleet::ConfigurationId& state)
+{
+    if (state <= storeState() || std::exchange(isCatchingUp_, true))
         return;
-    control_.post([this, from, revision] {
+    control_.post([this, from, state] {
         runtime::sleepFor(control_.io(), CatchUpTimeout);
         isCatchingUp_ = false;
-        if (revision <= watcher_->revision() || !watcher_->reselectSource())
+        if (state <= storeState() || !watcher_->reselectSource())
             return;
         log_.writeDecision("source_behind",
-            { { "source", lastSource_.endpoint }, { "revision", watcher_->revision() }, { "newer", revision },
-                { "at", from.operators } });
+            { { "source", lastSource_.endpoint }, { "era", storeState().era }, { "revision", storeState().revision },
+                { "newer_era", state.era }, { "newer", state.revision }, { "at", from.operators } });
         sources_.prefer(from.operators, std::chrono::steady_clock::now());
     });
 }
@@ -216,8 +222,8 @@
     return {
         [this] { return stateJson(); },
         [this] {
-            return boost::json::serialize(boost::json::object {
-                { "revision", controller_->version() }, { "store_revision", watcher_->revision() } });
+            return boost::json::serialize(boost::json::object { { "revision", controller_->version() },
+                { "store_revision", watcher_->position().revision }, { "store_era", watcher_->position().era } });
         },
         [this] { return fleetJson(); },
         [this] { return collectMetrics(); },
@@ -253,7 +259,8 @@
         metrics_.gauge("flamingousher_" + name, help).set(static_cast<double>(value));
     };
     gauge("configuration_version", "Version of the active configuration.", controller_->version());
-    gauge("store_revision", "Newest store revision that this VM has seen.", watcher_->revision());
+    gauge("store_revision", "Newest store revision that this VM has seen.", watcher_->position().revision);
+    gauge("store_era", "Era of this revision.", watcher_->position().era);
     gauge(
         "store_fresh", "1 while this VM reads directly from the store and is up to date.", watcher_->isFresh() ? 1 : 0);
     gauge("store_calls", "Requests sent directly to the store.", watcher_->storeCalls());
@@ -277,7 +284,8 @@
         { "ready", isReady() },
         { "stopping", isStopping_ },
         { "configuration", controller_->version() },
-        { "store_revision", watcher_->revision() },
+        { "store_revision", watcher_->position().revision },
+        { "store_era", watcher_->position().era },
         { "entry", boost::json::parse(entry_.describeState()) },
     });
 }
--- a/src/daemon/vmdaemon.h
+++ b/src/daemon/vmdaemon.h
@@ -40,7 +40,8 @@
     http::Handler makeOperatorsHandler();
     fleet::Source chooseSource();
     void onFleetView(const std::vector<fleet::NodeInfo>&);
-    void onPeerRevision(const fleet::NodeInfo& from, std::uint64_t revision);
+    void onPeerState(const fleet::NodeInfo& from, const fleet::ConfigurationId&);
+    fleet::ConfigurationId storeState() const;
     void onCaughtUp(const fleet::Source&);
     std::string fleetJson();
     metrics::Snapshot collectMetrics();
--- a/src/discovery/registry.cpp
+++ b/src/discovery/registry.cpp
@@ -113,6 +113,17 @@
     if (!isStoreUnavailable_)
         return;
     isStoreUnavailable_ = false;
+    beginRepublishing(now);
+}
+
+void Registry::onStoreRestored(base::TimePoint now)
+{
+    if (!isStoreUnavailable_)
+        beginRepublishing(now);
+}
+
+void Registry::beginRepublishing(base::TimePoint now)
+{
     storeAvailableSince_ = now;
     for (auto& [id, tracked] : tracked_) {
         if (tracked.expiresAt)
--- a/src/discovery/registry.h
+++ b/src/discovery/registry.h
@@ -29,6 +29,9 @@
     void onStoreUnavailable(base::TimePoint now);
     void onStoreAvailable(base::TimePoint now);
 
+    // Called when the store has come back from an older copy: entries may be missing until they are published again.
+    void onStoreRestored(base::TimePoint now);
+
     // Removes upstreams whose entries have expired and that have not published again in time.
     void tick(base::TimePoint now);
 
@@ -49,6 +52,7 @@
         base::TimePoint at;
     };
 
+    void beginRepublishing(base::TimePoint now);
     bool isExpiryUncertain(base::TimePoint now) const;
     void drop(std::map<std::string, TrackedUpstream>::iterator, base::TimePoint now);
     void report(const UpstreamEntry&, const char* change);
--- a/src/discovery/tests/registrytests.cpp
+++ b/src/discovery/tests/registrytests.cpp
@@ -95,3 +95,21 @@
     cr_assert_eq(registry.upstreams().size(), 1);
     cr_assert_eq(registry.upstreams().at(0).entry.id, "b");
 }
+
+// Fault: the store has come back from an older copy; upstreams that it has lost publish again within 2 s.
+Test(Registry, keepsUpstreamsThatARestoredStoreHasLost)
+{
+    Registry registry;
+    for (const char* id : { "kept", "lost", "gone" })
+        registry.put(entry(id, 5), Start);
+    registry.put(draining("left", 5), Start);
+    registry.remove("left", Start);
+    registry.onStoreRestored(Start + milliseconds(1'000));
+    registry.replaceAll({ entry("kept", 3), entry("left", 4) }, Start + milliseconds(1'000));
+    cr_expect_eq(registry.upstreams().size(), 3u, "and none comes back that had been removed");
+    registry.put(entry("lost", 5), Start + milliseconds(2'900));
+    registry.tick(Start + milliseconds(3'600));
+    cr_assert_eq(registry.upstreams().size(), 2u);
+    cr_expect_eq(registry.upstreams().at(0).entry.sequence, 5u, "an older report of a restored store is not taken");
+    cr_expect_eq(registry.upstreams().at(1).entry.id, std::string("lost"));
+}
--- a/src/fleet/types.h
+++ b/src/fleet/types.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -55,8 +56,13 @@
 struct ConfigurationId {
     std::uint64_t revision { 0 };
     std::uint64_t digest { 0 };
+    std::uint64_t era { 0 }; // a later era takes precedence over any revision; always 0 without a store
 
-    auto operator<=>(const ConfigurationId&) const = default;
+    bool operator==(const ConfigurationId&) const = default;
+    auto operator<=>(const ConfigurationId& other) const
+    {
+        return std::tie(era, revision, digest) <=> std::tie(other.era, other.revision, other.digest);
+    }
 };
 
 // What the sender knows of a request that may crash upstreams.
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -50,6 +50,7 @@
         auto packed = std::make_unique<fb::GossipT>();
         packed->revision = gossip.configuration.revision;
         packed->digest = gossip.configuration.digest;
+        packed->era = gossip.configuration.era;
         packed->view_digest = gossip.viewDigest;
         packed->view_buckets = gossip.viewBuckets;
         for (const fleet::MemberUpdate& update : gossip.members) {
@@ -80,7 +81,7 @@
         fleet::Gossip gossip;
         if (!packed)
             return gossip;
-        gossip.configuration = { packed->revision, packed->digest };
+        gossip.configuration = { packed->revision, packed->digest, packed->era };
         gossip.viewDigest = packed->view_digest;
         gossip.viewBuckets = packed->view_buckets;
         for (const fb::CompactMember& member : packed->compact_members) {
