Forget lost attempts of a retired pool

Cause, found in reading the change: a pool without connections that is retired within 20 ms of a loss is not swept again, so the callbacks of its lost attempts, and the requests that they hold, would stay until the process ends. Change: retire() drops them; a retired upstream is no evidence anyway.

--- a/src/upstreamclient/connectionpool.cpp
+++ b/src/upstreamclient/connectionpool.cpp
@@ -220,6 +220,7 @@
 void ConnectionPool::retire()
 {
     isRetired_ = true;
+    lostAttempts_.clear();
     for (const auto& connection : std::vector(connections_)) {
         if (!connection->isBusy())
             connection->close("retired");
