--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    // Each update is sent this many times the binary logarithm of the number of nodes. Comparisons tell the few nodes
-    // that gossip has missed, but for crashes that may be too late.
+    // Each update is sent this many times the binary logarithm of the number of nodes. The few nodes that gossip misses
+    // learn of it by comparisons. These take seconds, in which a request could crash more upstreams.
     constexpr std::uint32_t SendsPerLogNodes = 1;
     constexpr std::uint32_t CrashSendsPerLogNodes = 3;
 
