--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -212,7 +212,8 @@
             upstreams.push_back(boost::json::object { { "upstream", name },
                 { "service", shared.directory.entry(id).service }, { "endpoint", shared.directory.entry(id).endpoint },
                 { "draining", shared.directory.entry(id).isDraining }, { "connections", pool.connectionCount() },
-                { "reachable", pool.isReachable() }, { "room", pool.hasCapacity() },
+                { "reachable", pool.isReachable() },
+                { "reach", toString(pool.reach()) }, { "room", pool.hasCapacity() },
                 { "paused", shared.directory.pacer(id).isPaused(shared.now()) },
                 { "limit_per_s", shared.directory.pacer(id).rate().value_or(0) },
                 { "in_flight", shared.directory.selector().inFlight(id) },
@@ -236,6 +237,9 @@
             shared.metrics.gauge("flamingousher_" + name, help).set(static_cast<double>(value));
         };
         gauge("upstreams", "Number of published upstreams.", shared.directory.upstreamCount());
+        const auto reach = shared.directory.countReach();
+        gauge("upstreams_reached", "Upstreams to which a connection is established.", reach.reached);
+        gauge("upstreams_unreached", "Upstreams to which no connection can be opened.", reach.unreached);
         gauge("upstream_connections", "Open connections to upstreams.", shared.directory.connectionCount());
         gauge("attempts_sent", "Attempts sent to upstreams.", counters.sent);
         gauge("attempts_lost", "Attempts lost because their connection was lost.", counters.lost);
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -443,10 +443,33 @@
         upstreams_[id].pool->sweep();
     std::erase_if(openPoolIds_,
         [this](UpstreamId id) { return upstreams_[id].isRetired && upstreams_[id].pool->connectionCount() == 0; });
+    updateLinks();
     for (const auto& [name, state] : services_)
         dispatchWaiting(name);
 }
 
+Directory::ReachCounts Directory::countReach() const
+{
+    ReachCounts counts;
+    for (const auto& [name, state] : services_) {
+        for (UpstreamId id : state->upstreams) {
+            const upstreamclient::Reach reach = upstreams_[id].pool->reach();
+            counts.reached += reach == upstreamclient::Reach::Reached ? 1 : 0;
+            counts.unreached += reach == upstreamclient::Reach::Unreached ? 1 : 0;
+        }
+    }
+    return counts;
+}
+
+void Directory::updateLinks()
+{
+    const ReachCounts counts = countReach();
+    if (!links_.update(counts.reached, counts.unreached))
+        return;
+    log_.writeChange(links_.areLinksLost() ? "links_lost" : "links_restored",
+        { { "reached", counts.reached }, { "unreached", counts.unreached } });
+}
+
 std::size_t Directory::connectionCount() const
 {
     std::size_t count = 0;
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balancing/admission.h"
+#include "balancing/linkmonitor.h"
 #include "balancing/replicaselector.h"
 #include "balancing/retrybudget.h"
 #include "balancing/upstreampacer.h"
@@ -85,6 +86,16 @@
     // Cancels attempts that take too long, opens and closes connections, and starts waiting sub-requests. Called
     // periodically.
     void sweep();
+
+    // Numbers of upstreams by what their connections show.
+    struct ReachCounts {
+        std::size_t reached { 0 };
+        std::size_t unreached { 0 };
+
+        bool operator==(const ReachCounts&) const = default;
+    };
+
+    ReachCounts countReach() const;
     std::size_t upstreamCount() const { return published_.size(); }
     std::size_t connectionCount() const;
     upstreamclient::PoolCounters counters() const;
@@ -123,6 +134,7 @@
     void updatePlan();
     upstreamclient::ConnectionPool::Hooks poolHooks(UpstreamId, const std::string& service);
     void refreshLimits();
+    void updateLinks();
     bool hasCapacity(UpstreamId) const;
     bool isReachable(UpstreamId) const;
     void onNotice(UpstreamId, const balancing::UpstreamNotice&);
@@ -152,6 +164,7 @@
     std::map<std::string, std::shared_ptr<ServiceState>> services_;
     std::map<std::string, std::uint32_t> maxConnections_; // per upstream, by service
     balancing::ReplicaSelector selector_;
+    balancing::LinkMonitor links_;
     balancing::WaitQueue::Key lastKey_ { 0 };
 };
 
--- a/src/upstreamclient/connectionpool.cpp
+++ b/src/upstreamclient/connectionpool.cpp
@@ -24,6 +24,19 @@
 
 } // namespace
 
+std::string_view toString(Reach reach)
+{
+    switch (reach) {
+    case Reach::Unknown:
+        return "unknown";
+    case Reach::Reached:
+        return "reached";
+    case Reach::Unreached:
+        return "unreached";
+    }
+    return "invalid";
+}
+
 ConnectionPool::ConnectionPool(
     boost::asio::io_context& io, const PoolSettings& settings, const UpstreamProtocol& protocol, Hooks hooks)
     : io_(io)
@@ -85,6 +98,13 @@
     return !isRetired_ && (isConnected || hooks_.now() >= retryConnectAt_);
 }
 
+Reach ConnectionPool::reach() const
+{
+    if (std::ranges::any_of(connections_, [](const auto& connection) { return connection->isEstablished(); }))
+        return Reach::Reached;
+    return hasConnectFailed_ ? Reach::Unreached : Reach::Unknown;
+}
+
 void ConnectionPool::send(const Attempt& attempt, AttemptCallback callback)
 {
     std::shared_ptr<Connection> connection = findConnection();
@@ -115,8 +135,14 @@
     retryConnectAt_ = {};
 }
 
+void ConnectionPool::onConnected()
+{
+    hasConnectFailed_ = false;
+}
+
 void ConnectionPool::onConnectFailed()
 {
+    hasConnectFailed_ = true;
     const std::uint32_t doublings = std::min(connectFailures_++, MaxBackoffDoublings);
     retryConnectAt_ = hooks_.now() + FirstConnectBackoff * (1U << doublings);
 }
--- a/src/upstreamclient/connectionpool.h
+++ b/src/upstreamclient/connectionpool.h
@@ -46,6 +46,8 @@
     // Returns false while the upstream does not accept connections.
     bool isReachable() const;
 
+    Reach reach() const;
+
     // Sends an attempt; requires hasCapacity(). The callback is called exactly once, unless the attempt is dropped.
     void send(const Attempt&, AttemptCallback);
 
@@ -74,6 +76,7 @@
     void open();
     std::shared_ptr<Connection> findConnection() const;
     std::size_t connectionLimit() const;
+    void onConnected();
     void onConnectFailed();
     void onAnswered();
     void onAttemptLost(const Attempt&);
@@ -91,6 +94,7 @@
     std::vector<std::shared_ptr<Connection>> connections_;
     std::uint32_t connectFailures_ { 0 }; // consecutive
     base::TimePoint retryConnectAt_;
+    bool hasConnectFailed_ { false }; // the last connection that was opened, or reset before any response
     std::size_t reducedLimit_ { 0 }; // in force while the upstream accepts fewer connections than configured
     base::TimePoint reducedLimitUntil_;
     std::vector<std::function<void()>> lostAttempts_; // whose upstream may have crashed; called if it has
--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -68,6 +68,7 @@
     isOpen_ = true;
     openedAt_ = pool_->hooks_.now();
     lastProgress_ = openedAt_;
+    pool_->onConnected();
     return true;
 }
 
--- a/src/upstreamclient/internal/connection.h
+++ b/src/upstreamclient/internal/connection.h
@@ -35,6 +35,7 @@
 
     bool isFree() const { return isOpen_ && !attempt_ && !isClosing_ && !isStale(); }
     bool isOpening() const { return !isOpen_ && !isClosing_; }
+    bool isEstablished() const { return isOpen_ && !isClosing_; }
     bool isBusy() const { return attempt_.has_value(); }
     bool isOverdue(base::TimePoint now) const;
     base::TimePoint sentAt() const { return sentAt_; }
--- a/src/upstreamclient/types.h
+++ b/src/upstreamclient/types.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace flamingousher::upstreamclient {
 
@@ -73,6 +74,15 @@
     NeverSent,
 };
 
+// Whether the network lets this VM reach an upstream, as far as its connections show.
+enum class Reach : std::uint8_t {
+    Unknown, // no connection, and the last one that was opened did not fail
+    Reached, // a connection is established
+    Unreached, // no connection is established, and the last one could not be opened
+};
+
+std::string_view toString(Reach);
+
 struct PoolSettings {
     std::string upstreamId;
     http::Endpoint endpoint;
