--- a/soak/proxy.cpp
+++ b/soak/proxy.cpp
@@ -54,11 +54,18 @@
     }
 }
 
+bool Proxy::Link::isRefusedBy(const CallerFilter& isRefused) const
+{
+    error_code error;
+    const tcp::endpoint caller = clientSide.remote_endpoint(error);
+    return !error && isRefused && isRefused(caller.port());
+}
+
 void Proxy::serve(boost::asio::io_context& io, const std::shared_ptr<State>& state, const std::shared_ptr<Link>& link)
 {
     while (state->isForwardBlocked)
         runtime::sleepFor(io, BlockCheckInterval);
-    if (state->isRefusing) {
+    if (state->isRefusing || link->isRefusedBy(state->isRefused)) {
         link->reset();
         return;
     }
@@ -125,6 +132,14 @@
         link->reset();
 }
 
+void Proxy::resetRefusedCallers()
+{
+    for (const auto& link : openLinks()) {
+        if (link->isRefusedBy(state_->isRefused))
+            link->reset();
+    }
+}
+
 void Proxy::stallOpenConnections()
 {
     for (const auto& link : openLinks())
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -26,6 +27,13 @@
     void resetAll();
     void setRefusing(bool isRefusing) { state_->isRefusing = isRefusing; }
 
+    // Resets new connections of the callers that the function names by their port. Those that are open live on.
+    using CallerFilter = std::function<bool(std::uint16_t callerPort)>;
+    void setRefusedCallers(CallerFilter isRefused) { state_->isRefused = std::move(isRefused); }
+
+    // Resets the open connections of these callers.
+    void resetRefusedCallers();
+
     // Keeps the currently open connections open but forwards nothing more on them.
     void stallOpenConnections();
 
@@ -38,6 +46,7 @@
         }
 
         void reset();
+        bool isRefusedBy(const CallerFilter&) const;
 
         boost::asio::ip::tcp::socket clientSide;
         boost::asio::ip::tcp::socket serverSide;
@@ -50,6 +59,7 @@
         bool isForwardBlocked { false };
         bool isBackwardBlocked { false };
         bool isRefusing { false };
+        CallerFilter isRefused; // may be empty
         std::vector<std::weak_ptr<Link>> links;
     };
 
--- a/soak/vmprocess.h
+++ b/soak/vmprocess.h
@@ -43,6 +43,9 @@
     // Returns false once the process has ended; reaps it.
     bool isRunning();
 
+    // Returns 0 if the process is not running.
+    pid_t id() const { return process_; }
+
     // Number of starts so far.
     std::uint32_t startCount() const { return startCount_; }
 
