Tell connections apart by port and peer in the test of cut links

Connections of two VMs to different searchers may share a local port, so that some links of VMs that were to be cut stayed open. The checks and bounds are unchanged.

--- a/soak/portowners.cpp
+++ b/soak/portowners.cpp
@@ -7,6 +7,8 @@
 #include <string>
 #include <unordered_map>
 
+#include <arpa/inet.h>
+
 namespace flamingousher::soak {
 
 namespace {
@@ -33,19 +35,21 @@
 
 } // namespace
 
-std::map<std::uint16_t, pid_t> findPortOwners(const std::vector<pid_t>& processes)
+std::map<PortAndPeer, pid_t> findPortOwners(const std::vector<pid_t>& processes)
 {
     const auto sockets = findSockets(processes);
-    std::map<std::uint16_t, pid_t> owners;
+    std::map<PortAndPeer, pid_t> owners;
     std::ifstream table("/proc/net/tcp");
     std::string line;
     while (std::getline(table, line)) {
         unsigned port = 0;
+        unsigned peer = 0; // in network byte order
         unsigned long socket = 0;
-        if (std::sscanf(line.c_str(), "%*s %*8[0-9A-F]:%x %*s %*s %*s %*s %*s %*s %*s %lu", &port, &socket) != 2)
+        if (std::sscanf(line.c_str(), "%*s %*8[0-9A-F]:%x %8x:%*s %*s %*s %*s %*s %*s %*s %lu", &port, &peer, &socket)
+            != 3)
             continue;
         if (const auto found = sockets.find(socket); found != sockets.end())
-            owners[static_cast<std::uint16_t>(port)] = found->second;
+            owners[{ static_cast<std::uint16_t>(port), ntohl(peer) }] = found->second;
     }
     return owners;
 }
--- a/tests/linkcut/main.cpp
+++ b/tests/linkcut/main.cpp
@@ -69,6 +69,7 @@
 // A searcher behind its link, through which all VMs reach it.
 struct LinkedSearcher {
     std::string service;
+    std::uint32_t address { 0 }; // of the link
     std::unique_ptr<platform::SearcherStandIn> searcher;
     std::unique_ptr<soak::Proxy> link;
 };
@@ -113,7 +114,9 @@
         for (LinkedSearcher& searcher : searchers_) {
             if (!isCutService(searcher.service))
                 continue;
-            searcher.link->setRefusedCallers([this](std::uint16_t port) { return isCutPort(port); });
+            searcher.link->setRefusedCallers([this, peer = searcher.address](std::uint16_t port) {
+                return isCut({ port, peer });
+            });
             if (FLAGS_scenario != "refuse")
                 searcher.link->resetRefusedCallers();
         }
@@ -195,15 +198,15 @@
         return (FLAGS_scenario != "service" && FLAGS_scenario != "gone") || service == "single";
     }
 
-    bool isCutPort(std::uint16_t port)
+    bool isCut(const soak::PortAndPeer& connection)
     {
-        if (!portOwners_.contains(port)) {
+        if (!portOwners_.contains(connection)) {
             std::vector<pid_t> processes;
             for (const auto& vm : vms_)
                 processes.push_back(vm->id());
             portOwners_ = soak::findPortOwners(processes);
         }
-        const auto owner = portOwners_.find(port);
+        const auto owner = portOwners_.find(connection);
         for (std::size_t vm = 0; vm < VmCount && owner != portOwners_.end(); ++vm) {
             if (vms_[vm]->id() == owner->second)
                 return isCutVm(vm);
@@ -217,10 +220,11 @@
         const std::string id = "i-" + std::to_string(index);
         const std::string published = endpoint(2, index, LinkPort);
         const http::Endpoint behindLink = *http::parseEndpoint(endpoint(2, index, SearcherPort));
-        LinkedSearcher linked { service,
+        const http::Endpoint link = *http::parseEndpoint(published);
+        LinkedSearcher linked { service, link.address().to_v4().to_uint(),
             std::make_unique<platform::SearcherStandIn>(io_, service, id, platform::SearcherBehaviour {}),
             std::make_unique<soak::Proxy>(io_, behindLink) };
-        if (linked.searcher->listen(behindLink) || linked.link->listen(*http::parseEndpoint(published)))
+        if (linked.searcher->listen(behindLink) || linked.link->listen(link))
             throw std::runtime_error("cannot listen");
         searchers_.push_back(std::move(linked));
         const discovery::UpstreamEntry entry { .id = id,
@@ -320,7 +324,7 @@
     std::vector<LinkedSearcher> searchers_;
     std::mt19937 random_;
     std::vector<std::unique_ptr<soak::VmProcess>> vms_;
-    std::map<std::uint16_t, pid_t> portOwners_;
+    std::map<soak::PortAndPeer, pid_t> portOwners_;
     TimePoint cutAt_;
     TimePoint restoredAt_;
     bool isStopping_ { false };
