Do not pass on the failure of a delegate that reaches no upstreams

Cause: a delegate accepted requests whose upstreams it could not reach, and its 503 was passed on as the final response.

A delegate refuses, as not run, what it cannot answer as far as its connections show, and the VM tries another one or runs the request itself. An unreached upstream is probed with one connection, so that it is noticed when it is back.

The VMs that are cut off still serve none.

--- a/src/balancing/admission.cpp
+++ b/src/balancing/admission.cpp
@@ -44,6 +44,13 @@
 
 } // namespace
 
+std::size_t requiredShards(std::size_t shards, double minCoverage)
+{
+    constexpr double RoundingTolerance = 1e-9;
+    return std::max<std::size_t>(
+        1, static_cast<std::size_t>(std::ceil(minCoverage * static_cast<double>(shards) - RoundingTolerance)));
+}
+
 AdmissionDecision admit(std::span<const ShardLoad> shards, double minCoverage, base::Duration timeToGoal)
 {
     std::vector<base::Duration> latencies;
@@ -52,14 +59,13 @@
         if (shard.isUsable)
             latencies.push_back(expectedLatency(shard));
     }
-    const auto requiredShards = std::max<std::size_t>(
-        1, static_cast<std::size_t>(std::ceil(minCoverage * static_cast<double>(shards.size()) - 1e-9)));
-    if (latencies.size() < requiredShards) {
-        const base::Duration wait = timeUntilUsable(shards, requiredShards - latencies.size());
+    const std::size_t required = requiredShards(shards.size(), minCoverage);
+    if (latencies.size() < required) {
+        const base::Duration wait = timeUntilUsable(shards, required - latencies.size());
         return { AdmissionReason::TooFewUsable, wait, wait };
     }
-    std::ranges::nth_element(latencies, latencies.begin() + static_cast<std::ptrdiff_t>(requiredShards - 1));
-    const base::Duration expected = latencies[requiredShards - 1];
+    std::ranges::nth_element(latencies, latencies.begin() + static_cast<std::ptrdiff_t>(required - 1));
+    const base::Duration expected = latencies[required - 1];
     if (expected <= timeToGoal)
         return { AdmissionReason::Admitted, expected, {} };
     // Without a queue the upstreams themselves are slow: a retry would not be faster, so a late answer is better than
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -461,6 +461,27 @@
     return counts;
 }
 
+// All VMs know the same upstreams, so a service without any is missing everywhere.
+bool Directory::reachesService(const std::string& name) const
+{
+    const auto found = services_.find(name);
+    if (found == services_.end() || found->second->upstreams.empty())
+        return true;
+    return std::ranges::any_of(found->second->upstreams,
+        [this](UpstreamId id) { return upstreams_[id].pool->reach() != upstreamclient::Reach::Unreached; });
+}
+
+bool Directory::reaches(const routing::Route& route) const
+{
+    if (!route.isFanout()) {
+        return std::ranges::all_of(route.services,
+            [this](const routing::WeightedService& service) { return reachesService(service.service); });
+    }
+    const auto reached = static_cast<std::size_t>(
+        std::ranges::count_if(route.shards, [this](const std::string& shard) { return reachesService(shard); }));
+    return reached >= balancing::requiredShards(route.shards.size(), route.minCoverage);
+}
+
 void Directory::updateLinks()
 {
     const ReachCounts counts = countReach();
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -69,6 +69,10 @@
     // Never returns null: creates the service if it does not exist.
     std::shared_ptr<ServiceState> service(const std::string& name);
 
+    // Returns whether an answer to requests of the route is possible as far as the connections show: upstreams of each
+    // service, or of as many shards as the minimum coverage, are not unreached.
+    bool reaches(const routing::Route&) const;
+
     balancing::ReplicaSelector& selector() { return selector_; }
     // Records that an attempt is sent to the upstream.
     void onSent(UpstreamId, AttemptId, base::Duration typical);
@@ -135,6 +139,7 @@
     upstreamclient::ConnectionPool::Hooks poolHooks(UpstreamId, const std::string& service);
     void refreshLimits();
     void updateLinks();
+    bool reachesService(const std::string& name) const;
     bool hasCapacity(UpstreamId) const;
     bool isReachable(UpstreamId) const;
     void onNotice(UpstreamId, const balancing::UpstreamNotice&);
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -166,6 +166,8 @@
         return "another configuration is in force";
     if (!route || !route->isFanout() || !route->isIdempotent)
         return "not a request over many shards";
+    if (!state_.directory.reaches(*route))
+        return "upstreams not reached";
     if (state_.schedulingDelay > state_.settings.maxDelegateSchedulingDelay)
         return "overloaded";
     // A VM that was paused reads requests that were dropped long ago.
--- a/src/upstreamclient/connectionpool.cpp
+++ b/src/upstreamclient/connectionpool.cpp
@@ -64,7 +64,9 @@
 
 void ConnectionPool::keepWarm()
 {
-    const std::size_t target = std::min(settings_.warmConnections, connectionLimit());
+    // An unreached upstream is not used until a connection shows that it is reached again.
+    const std::size_t wanted = std::max<std::size_t>(settings_.warmConnections, hasConnectFailed_ ? 1 : 0);
+    const std::size_t target = std::min(wanted, connectionLimit());
     while (!isRetired_ && connections_.size() < target && hooks_.now() >= retryConnectAt_)
         open();
 }
