Delegate requests whose upstreams this VM does not reach

Callers of VMs that had lost their links to the searchers got 503 within 4 ms, for twelve seconds, while other VMs could have served them.

Cause: a VM passed requests on only by size of the VMs, and only idempotent ones over shards. What it could not reach it refused. Class of fault: local health taken for the health of the whole.

Each VM now has delegates, and delegates to them requests of every kind whose upstreams its connections show as unreached. What must not be repeated waits for its answer until the deadline, and ends with 504 if the delegate is lost.

--- a/src/delegation/delegationplan.cpp
+++ b/src/delegation/delegationplan.cpp
@@ -37,7 +37,9 @@
                 large.maxProcessor = std::max(large.maxProcessor, vm.processorMilli);
         }
         for (const NodeInfo& vm : vms) {
-            if (isCandidate(vm) && vm.processorMilli * MinProcessorRatio > large.maxProcessor)
+            // All are alike while no size is known.
+            const bool isLarge = vm.processorMilli * MinProcessorRatio > large.maxProcessor || large.maxProcessor == 0;
+            if (isCandidate(vm) && isLarge)
                 large.vms.push_back(vm);
         }
         return large;
@@ -64,9 +66,9 @@
             plan.executors.push_back(vm);
     }
     const LargeVms& large = largeByRegion[self.region];
-    if (!isDelegating(self, large))
-        return plan;
+    plan.isDelegatingFanouts = isDelegating(self, large);
     plan.delegates = large.vms;
+    std::erase_if(plan.delegates, [&](const NodeInfo& vm) { return vm.id == self.id; });
     const auto isNearUpstreams = [&](const NodeInfo& vm) { return upstreamZones.contains(vm.zone); };
     if (static_cast<std::size_t>(std::ranges::count_if(plan.delegates, isNearUpstreams)) >= MinDelegates)
         std::erase_if(plan.delegates, [&](const NodeInfo& vm) { return !isNearUpstreams(vm); });
--- a/src/delegation/delegationplan.h
+++ b/src/delegation/delegationplan.h
@@ -8,22 +8,26 @@
 
 namespace flamingousher::delegation {
 
-// Which VMs run the requests over many shards, as seen by one VM.
+// Which VMs run the requests of callers of other VMs, as seen by one VM.
 //
 // Load pattern: hundreds of VMs, most of them with a small share of a processor. A VM that receives few requests meets
 // each upstream once in several seconds: its connections are cold, it cannot know which upstreams are slow, and its
 // part of the retry budget is below one attempt. Sending to and reading from 90 shards also takes it most of a short
-// latency goal. Such a VM delegates the whole request to one of a few larger VMs. VMs of similar size delegate nothing.
+// latency goal. Such a VM delegates the whole request to one of a few larger VMs. VMs of similar size do not.
+//
+// Load pattern: some VMs lose their links to the upstreams for seconds, while callers and other VMs still reach them.
+// Every VM therefore has delegates for the requests whose upstreams it does not reach.
 struct DelegationPlan {
-    // VMs to which this VM delegates, preferred ones first. Empty if it runs all requests itself.
+    // VMs to which this VM delegates, preferred ones first.
     std::vector<fleet::NodeInfo> delegates;
 
+    // This VM delegates all requests over many shards, not only those whose upstreams it does not reach.
+    bool isDelegatingFanouts { false };
+
     // VMs that run requests over many shards as a rule, including this one if it does.
     std::vector<fleet::NodeInfo> executors;
 
     bool operator==(const DelegationPlan&) const = default;
-
-    bool isDelegating() const { return !delegates.empty(); }
 };
 
 // vms: all VMs that are up, including self. upstreamZones: availability zones with upstreams of sharded services;
--- a/src/delegation/delegationprotocol.h
+++ b/src/delegation/delegationprotocol.h
@@ -18,7 +18,7 @@
     base::Duration remaining { 0 }; // until the deadline, when the request was sent
     base::Duration goalLead { 0 }; // the latency goal ends this long before the deadline
     // The delegating VM gives up without a confirmation within this time, and runs the request itself. Until then a
-    // delegate sends no hedges.
+    // delegate sends no hedges. 0 if the delegating VM cannot run the request.
     base::Duration confirmWithin { 0 };
 
     bool operator==(const DelegatedLimits&) const = default;
--- a/src/delegation/tests/delegationplantests.cpp
+++ b/src/delegation/tests/delegationplantests.cpp
@@ -43,7 +43,7 @@
     for (int index = 0; index < 9; ++index)
         vms.push_back(makeVm(std::to_string(index), "z1", index % 2 ? 250 : 300));
     const DelegationPlan plan = makeDelegationPlan(vms, vms.front(), { "z1" });
-    cr_assert(!plan.isDelegating());
+    cr_assert(!plan.isDelegatingFanouts);
     cr_assert_eq(plan.executors.size(), vms.size());
 }
 
@@ -53,12 +53,12 @@
     const std::set<std::string> upstreamZones { "z1", "z2", "z3" };
     for (const fleet::NodeInfo& vm : vms) {
         const DelegationPlan plan = makeDelegationPlan(vms, vm, upstreamZones);
-        cr_assert_eq(plan.isDelegating(), !isLarge(vm));
+        cr_assert_eq(plan.isDelegatingFanouts, !isLarge(vm));
         cr_assert_eq(plan.executors.size(), 15);
         cr_assert(std::ranges::all_of(plan.delegates, isLarge));
         for (const fleet::NodeInfo& delegate : plan.delegates)
             cr_assert(upstreamZones.contains(delegate.zone));
-        if (plan.isDelegating() && upstreamZones.contains(vm.zone))
+        if (plan.isDelegatingFanouts && upstreamZones.contains(vm.zone))
             cr_assert_eq(plan.delegates.front().zone, vm.zone);
     }
 }
@@ -83,7 +83,7 @@
     auto vms = largeFleet();
     std::erase_if(vms, [](const fleet::NodeInfo& vm) { return isLarge(vm) && vm.zone != "z5" && vm.zone != "z4"; });
     const DelegationPlan plan = makeDelegationPlan(vms, vms.front(), { "z1", "z2", "z3" });
-    cr_assert(plan.isDelegating());
+    cr_assert(plan.isDelegatingFanouts);
     cr_assert_eq(plan.executors.size(), 6);
 }
 
@@ -93,7 +93,7 @@
     int kept = 0;
     std::erase_if(vms, [&](const fleet::NodeInfo& vm) { return isLarge(vm) && ++kept > 2; });
     const DelegationPlan plan = makeDelegationPlan(vms, vms.back(), { "z1" });
-    cr_assert(!plan.isDelegating());
+    cr_assert(!plan.isDelegatingFanouts);
     cr_assert_eq(plan.executors.size(), vms.size());
 }
 
@@ -107,7 +107,7 @@
             vm.fanouts.clear();
     }
     const fleet::NodeInfo self = vms.back();
-    cr_assert(!makeDelegationPlan(vms, self, { "z1" }).isDelegating());
+    cr_assert(!makeDelegationPlan(vms, self, { "z1" }).isDelegatingFanouts);
 }
 
 // VMs of an earlier version neither state their processor share nor accept requests.
@@ -117,6 +117,6 @@
     vms.push_back(makeVm("old", "z1", 0));
     vms.back().fanouts.clear();
     const DelegationPlan plan = makeDelegationPlan(vms, vms.back(), { "z1" });
-    cr_assert(!plan.isDelegating());
+    cr_assert(!plan.isDelegatingFanouts);
     cr_assert_eq(plan.executors.size(), 16);
 }
--- a/src/entry/internal/delegatedrequest.cpp
+++ b/src/entry/internal/delegatedrequest.cpp
@@ -9,41 +9,39 @@
 
 namespace {
 
-    // Delegates tried until this VM runs the request itself.
-    constexpr std::size_t MaxDelegatesTried = 2;
-
     // A delegate confirms within the round trip and its scheduling delay. The rest of the goal must suffice for running
-    // the request here.
+    // the request here, if this VM can; callers that get an error try again elsewhere.
     constexpr double ConfirmationFraction = 0.25; // of the time until the goal
+    constexpr double SoleConfirmationFraction = 0.5;
     constexpr base::Duration UnreadDataDelay = std::chrono::milliseconds(1); // until what has arrived is read
 
-    constexpr std::size_t MaxResponseBytes = 2 * 1024 * 1024; // merged records and the stamps of all parts
+    constexpr std::size_t MaxResponseBytes = 8 * 1024 * 1024; // as of an upstream
 
     constexpr base::Duration MinConfirmationTime = std::chrono::milliseconds(8);
 
 } // namespace
 
 DelegatedRequest::DelegatedRequest(
-    EntryState& state, std::shared_ptr<const upstreamclient::OutboundRequest> request, const Times& times)
+    EntryState& state, std::shared_ptr<const upstreamclient::OutboundRequest> request, const Limits& limits)
     : state_(state)
     , request_(std::move(request))
-    , times_(times)
-    , confirmationTime_(confirmationTime(times.goal - state.now()))
+    , limits_(limits)
     , timer_(state.io)
 {
 }
 
-base::Duration DelegatedRequest::confirmationTime(base::Duration untilGoal)
+base::Duration DelegatedRequest::confirmationTime(base::Duration untilGoal, bool canRunHere)
 {
-    return std::max(MinConfirmationTime, std::chrono::duration_cast<base::Duration>(ConfirmationFraction * untilGoal));
+    const double fraction = canRunHere ? ConfirmationFraction : SoleConfirmationFraction;
+    return std::max(MinConfirmationTime, std::chrono::duration_cast<base::Duration>(fraction * untilGoal));
 }
 
 DelegationResult DelegatedRequest::run()
 {
     std::vector<Delegates::DelegateId> tried;
     DelegationResult result;
-    while (result.outcome == DelegationOutcome::NotRun && !isAbandoned_ && tried.size() < MaxDelegatesTried) {
-        const auto delegate = state_.delegates.choose(tried, times_.typical);
+    while (result.outcome == DelegationOutcome::NotRun && !isAbandoned_ && tried.size() < limits_.maxDelegates) {
+        const auto delegate = state_.delegates.choose(tried, limits_.typical);
         if (!delegate)
             break;
         tried.push_back(*delegate);
@@ -61,17 +59,17 @@
     isAcknowledged_ = false;
     attempt_ = state_.nextId();
     const base::TimePoint now = state_.now();
-    armTimer(std::min(now + confirmationTime_, times_.deadline));
+    armTimer(std::min(now + limits_.confirmWithin, limits_.deadline));
     const auto self = shared_from_this();
-    upstreamclient::Attempt attempt { attempt_, request_, times_.deadline, true, MaxResponseBytes,
+    upstreamclient::Attempt attempt { attempt_, request_, limits_.deadline, true, MaxResponseBytes,
         [weak = weak_from_this(), id = attempt_] {
             const auto request = weak.lock();
             if (!request || request->attempt_ != id || request->isAcknowledged_)
                 return;
             request->isAcknowledged_ = true;
-            request->armTimer(request->times_.deadline);
+            request->armTimer(request->limits_.deadline);
         } };
-    state_.delegates.send(delegate, attempt, times_.typical,
+    state_.delegates.send(delegate, attempt, limits_.typical,
         [self, id = attempt_](upstreamclient::AttemptResult result) { self->onResult(id, std::move(result)); });
     if (attempt_ != 0) {
         isWaiting_ = true;
@@ -122,8 +120,8 @@
     if (state_.now() < timer_.expiry())
         return;
     // A small VM may be late itself: the confirmation has arrived but is not read yet.
-    if (state_.delegates.hasUnreadData(delegate_, attempt_) && state_.now() < times_.deadline) {
-        armTimer(std::min(state_.now() + UnreadDataDelay, times_.deadline));
+    if (state_.delegates.hasUnreadData(delegate_, attempt_) && state_.now() < limits_.deadline) {
+        armTimer(std::min(state_.now() + UnreadDataDelay, limits_.deadline));
         return;
     }
     const bool mayHaveRun = state_.delegates.drop(delegate_, attempt_, true);
--- a/src/entry/internal/delegatedrequest.h
+++ b/src/entry/internal/delegatedrequest.h
@@ -29,21 +29,22 @@
     bool isAnswered() const { return response.has_value(); }
 };
 
-// Delegates one request over many shards to another VM. Load pattern: a delegate freezes, is cut off or is overloaded
+// Delegates one request to another VM. Load pattern: a delegate freezes, is cut off or is overloaded
 // at any time, and the latency goal is too short to wait until membership notices. A delegate therefore confirms each
 // request when it starts, and this VM runs the request itself if the confirmation is late.
 class DelegatedRequest : public std::enable_shared_from_this<DelegatedRequest> {
 public:
-    struct Times {
-        base::TimePoint goal;
+    struct Limits {
         base::TimePoint deadline;
+        base::Duration confirmWithin; // time to wait for the confirmation
         base::Duration typical; // median time of delegated requests of this kind
+        std::size_t maxDelegates; // tried one after the other until one accepts
     };
 
-    // Returns how long to wait for the confirmation of a request.
-    static base::Duration confirmationTime(base::Duration untilGoal);
+    // Returns how long to wait for the confirmation of a request. canRunHere: this VM runs it itself otherwise.
+    static base::Duration confirmationTime(base::Duration untilGoal, bool canRunHere);
 
-    DelegatedRequest(EntryState&, std::shared_ptr<const upstreamclient::OutboundRequest>, const Times&);
+    DelegatedRequest(EntryState&, std::shared_ptr<const upstreamclient::OutboundRequest>, const Limits&);
 
     // Blocks the calling fiber.
     DelegationResult run();
@@ -60,8 +61,7 @@
 
     EntryState& state_;
     std::shared_ptr<const upstreamclient::OutboundRequest> request_;
-    Times times_;
-    base::Duration confirmationTime_;
+    Limits limits_;
     boost::asio::steady_timer timer_;
     Delegates::DelegateId delegate_ { 0 };
     AttemptId attempt_ { 0 }; // in progress; 0 if none
--- a/src/entry/internal/delegates.cpp
+++ b/src/entry/internal/delegates.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-    constexpr std::size_t MaxConnections = 8; // concurrent requests at one delegate
+    constexpr std::size_t MaxConnections = 32; // concurrent requests at one delegate
     constexpr std::size_t WarmConnections = 1;
 
     // A delegate in another zone is chosen only if it is faster by more than the round trip.
@@ -34,7 +34,7 @@
 {
 }
 
-void Delegates::set(const std::vector<fleet::NodeInfo>& vms)
+bool Delegates::set(const std::vector<fleet::NodeInfo>& vms, bool isFrequent)
 {
     std::map<fleet::NodeId, DelegateId> listed;
     order_.clear();
@@ -46,6 +46,8 @@
         }
         const auto found = active_.find(vm.id);
         const DelegateId id = found == active_.end() ? add(vm, *endpoint) : found->second;
+        delegates_[id].pool->setSettings(poolSettings(vm, *endpoint, isFrequent));
+        delegates_[id].pool->keepWarm();
         listed.emplace(vm.id, id);
         order_.push_back(id);
     }
@@ -55,9 +57,17 @@
         delegates_[id].isRetired = true;
         delegates_[id].pool->retire();
     }
-    if (listed != active_)
+    const bool isChanged = listed != active_;
+    if (isChanged)
         log_.writeChange("delegates", { { "count", listed.size() }, { "before", active_.size() } });
     active_ = std::move(listed);
+    return isChanged;
+}
+
+upstreamclient::PoolSettings Delegates::poolSettings(
+    const fleet::NodeInfo& vm, const http::Endpoint& endpoint, bool isFrequent)
+{
+    return { vm.id.endpoint, endpoint, MaxConnections, isFrequent ? WarmConnections : 0, base::Duration::zero() };
 }
 
 Delegates::DelegateId Delegates::add(const fleet::NodeInfo& vm, const http::Endpoint& endpoint)
@@ -70,11 +80,9 @@
         if (outcome == DroppedOutcome::NeverSent)
             lastNeverSent_ = attempt;
     };
-    const upstreamclient::PoolSettings poolSettings { vm.id.endpoint, endpoint, MaxConnections, WarmConnections,
-        base::Duration::zero() };
-    delegates_.push_back({ vm.fanouts, std::make_shared<ConnectionPool>(io_, poolSettings, protocol_, hooks) });
+    delegates_.push_back(
+        { vm.fanouts, std::make_shared<ConnectionPool>(io_, poolSettings(vm, endpoint, false), protocol_, hooks) });
     selector_.setUpstream(id, { vm.zone == settings_.zone ? base::Duration::zero() : CrossZonePenalty, 1 }, {});
-    delegates_.back().pool->keepWarm();
     return id;
 }
 
--- a/src/entry/internal/delegates.h
+++ b/src/entry/internal/delegates.h
@@ -24,8 +24,9 @@
     Delegates(
         boost::asio::io_context&, const EntrySettings&, eventlog::EventLog&, std::function<base::TimePoint()> now);
 
-    // Replaces the delegates. Requests in progress at VMs that are no longer listed continue.
-    void set(const std::vector<fleet::NodeInfo>&);
+    // Replaces the delegates. isFrequent: requests are delegated all the time, so a connection to each delegate is kept
+    // open. Requests in progress at VMs that are no longer listed continue. Returns whether the delegates have changed.
+    bool set(const std::vector<fleet::NodeInfo>&, bool isFrequent);
 
     bool isEmpty() const { return active_.empty(); }
 
@@ -60,6 +61,7 @@
     };
 
     DelegateId add(const fleet::NodeInfo&, const http::Endpoint&);
+    static upstreamclient::PoolSettings poolSettings(const fleet::NodeInfo&, const http::Endpoint&, bool isFrequent);
 
     boost::asio::io_context& io_;
     const EntrySettings& settings_;
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -233,8 +233,8 @@
     if (!isDelegationUsed() || !isSharded(service))
         return 1.0 / static_cast<double>(vms_.size());
     const auto executors = static_cast<double>(plan_.executors.size());
-    return plan_.isDelegating() ? (1 - ExecutorFraction) / (static_cast<double>(vms_.size()) - executors)
-                                : ExecutorFraction / executors;
+    return plan_.isDelegatingFanouts ? (1 - ExecutorFraction) / (static_cast<double>(vms_.size()) - executors)
+                                     : ExecutorFraction / executors;
 }
 
 balancing::ReplicaSelector::Distance Directory::distance(
@@ -258,7 +258,7 @@
     if (vms_.empty())
         return { std::clamp<std::size_t>(allocatable / settings_.assumedVmCount, 1, MaxConnections), 0 };
     const bool isLimitedToExecutors = isDelegationUsed() && isSharded(entry.service);
-    if (isLimitedToExecutors && plan_.isDelegating())
+    if (isLimitedToExecutors && plan_.isDelegatingFanouts)
         return { DelegatingVmConnections, 0 };
     if (isLimitedToExecutors)
         allocatable = static_cast<std::uint32_t>(allocatable * ExecutorFraction);
@@ -283,7 +283,7 @@
 {
     if (!isDelegationUsed() || !isSharded(service))
         return { settings_.retryRatio, settings_.retrySlack / static_cast<double>(maxVmsSeen_), settings_.retryWindow };
-    if (plan_.isDelegating())
+    if (plan_.isDelegatingFanouts)
         return { settings_.retryRatio, 0, settings_.retryWindow };
     const double restarts = restartSettings().slack * static_cast<double>(vms_.size() - plan_.executors.size());
     return { settings_.retryRatio, (settings_.retrySlack - restarts) / static_cast<double>(plan_.executors.size()),
@@ -342,9 +342,9 @@
     self_ = self;
 }
 
-std::vector<fleet::NodeInfo> Directory::chooseDelegates() const
+delegation::DelegationPlan Directory::currentPlan() const
 {
-    return vms_.empty() ? makePlan(firstMembers_).delegates : plan_.delegates;
+    return vms_.empty() ? makePlan(firstMembers_) : plan_;
 }
 
 void Directory::setFleet(const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self)
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -53,12 +53,9 @@
     // Sets the VMs, including this one, that share the connection limits of the upstreams and the retry budgets.
     void setFleet(const std::vector<fleet::NodeInfo>&, const fleet::NodeInfo& self);
 
-    // Returns which VMs run the requests over many shards.
-    const delegation::DelegationPlan& delegationPlan() const { return plan_; }
-
-    // Returns the VMs to which this VM delegates. Until the fleet is known, they are chosen from the first members: a
+    // Returns which VMs run requests of others. Until the fleet is known, they are chosen from the first members: a
     // small VM would take too long to open connections to all shards itself.
-    std::vector<fleet::NodeInfo> chooseDelegates() const;
+    delegation::DelegationPlan currentPlan() const;
 
     // Sets the members known before the view of the fleet has settled. No effect once setFleet() has been called.
     void setFirstMembers(const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self);
--- a/src/entry/internal/entrystate.cpp
+++ b/src/entry/internal/entrystate.cpp
@@ -81,7 +81,10 @@
 
 void EntryState::updateDelegates()
 {
-    delegates.set(directory.chooseDelegates());
+    const delegation::DelegationPlan plan = directory.currentPlan();
+    isDelegatingFanouts = plan.isDelegatingFanouts;
+    if (delegates.set(plan.delegates, isDelegatingFanouts))
+        unreachedRoutes.clear();
 }
 
 } // namespace flamingousher::entry
--- a/src/entry/internal/entrystate.h
+++ b/src/entry/internal/entrystate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "accounts/recordstore.h"
+#include "delegation/unreachedroutes.h"
 #include "entry/internal/delegates.h"
 #include "entry/internal/directory.h"
 #include "entry/internal/writetimes.h"
@@ -57,6 +58,8 @@
     accounts::RecordStore records;
     Directory directory;
     Delegates delegates;
+    bool isDelegatingFanouts { false }; // all requests over many shards
+    delegation::UnreachedRoutes unreachedRoutes;
     quarantine::Quarantine quarantine;
     std::function<void(const quarantine::CrashRecord&)> reportCrash; // to the other VMs; may be empty
     std::shared_ptr<const routing::RouteTable> routes; // null until a configuration is loaded
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -23,6 +23,12 @@
     // One of this many complete responses is logged.
     constexpr std::uint64_t SuccessSampleInterval = 200;
 
+    // Delegates tried until this VM runs the request itself.
+    constexpr std::size_t MaxDelegatesTried = 2;
+
+    // Delegates tried for a request that this VM cannot run. Some of them may not reach the upstreams either.
+    constexpr std::size_t MaxSoleDelegatesTried = 4;
+
     base::Rank rankOf(const routing::Route& route)
     {
         return static_cast<base::Rank>(std::min<std::uint32_t>(route.priority, base::RankCount - 1));
@@ -109,17 +115,34 @@
     }
     if (state_.quarantine.isQuarantined(decoded->outbound->fingerprint, now))
         return refuseCrashing(routed);
-    const bool isDelegated = route->isFanout() && route->isIdempotent && !state_.delegates.isEmpty();
-    return isDelegated ? runDelegated(routed, routes, exchange) : run(routed, routes, exchange);
+    const Delegation delegation = chooseDelegation(*route);
+    return delegation == Delegation::None ? run(routed, routes, exchange)
+                                          : runDelegated(routed, routes, exchange, delegation);
 }
 
-http::Response RequestHandler::runDelegated(
-    const RoutedRequest& routed, std::shared_ptr<const routing::RouteTable> routes, http::Exchange& exchange)
+RequestHandler::Delegation RequestHandler::chooseDelegation(const routing::Route& route) const
 {
+    if (state_.delegates.isEmpty())
+        return Delegation::None;
+    if (!state_.directory.reaches(route) && state_.unreachedRoutes.mayDelegate(route.name, state_.now()))
+        return Delegation::Unreached;
+    const bool isDelegated = state_.isDelegatingFanouts && route.isFanout() && route.isIdempotent;
+    return isDelegated ? Delegation::Fanout : Delegation::None;
+}
+
+http::Response RequestHandler::runDelegated(const RoutedRequest& routed,
+    std::shared_ptr<const routing::RouteTable> routes, http::Exchange& exchange, Delegation reason)
+{
+    const bool canRunHere = reason == Delegation::Fanout;
+    // What must not be repeated is of no use to a caller once it may have run, so its answer is awaited.
+    const base::Duration confirmWithin = routed.route.isIdempotent
+        ? DelegatedRequest::confirmationTime(routed.goal - routed.receivedAt, canRunHere)
+        : routed.deadline - routed.receivedAt;
     const auto delegated = std::make_shared<DelegatedRequest>(state_,
         delegation::makeDelegatedRequest(*routed.decoded.outbound, routes->configuration().version,
-            routed.deadline - routed.goal, DelegatedRequest::confirmationTime(routed.goal - routed.receivedAt)),
-        DelegatedRequest::Times { routed.goal, routed.deadline, state_.delegatedLatency(routed.route).typical() });
+            routed.deadline - routed.goal, canRunHere ? confirmWithin : base::Duration::zero()),
+        DelegatedRequest::Limits { routed.deadline, confirmWithin, state_.delegatedLatency(routed.route).typical(),
+            canRunHere ? MaxDelegatesTried : MaxSoleDelegatesTried });
     exchange.onPeerGone = [weak = std::weak_ptr(delegated)] {
         if (const auto request = weak.lock())
             request->abandon();
@@ -127,10 +150,13 @@
     DelegationResult result = delegated->run();
     exchange.onPeerGone = nullptr;
     recordDelegation(routed, result);
-    if (result.outcome == DelegationOutcome::NotRun)
+    if (result.outcome == DelegationOutcome::NotRun) {
+        if (reason == Delegation::Unreached)
+            state_.unreachedRoutes.onRefused(routed.route.name, state_.now());
         return run(routed, std::move(routes), exchange);
+    }
     // The delegate may have sent one attempt to each shard before it noticed that this VM had dropped the request.
-    if (result.outcome == DelegationOutcome::Unacknowledged && routed.maxAttempts > 1
+    if (result.outcome == DelegationOutcome::Unacknowledged && canRunHere && routed.maxAttempts > 1
         && state_.directory.tryAcquireRestart()) {
         RoutedRequest restarted = routed;
         --restarted.maxAttempts;
@@ -164,8 +190,8 @@
     // An answer of another version could take the caller's VM back to an older configuration.
     if (!state_.routes || state_.routes->configuration().version != version)
         return "another configuration is in force";
-    if (!route || !route->isFanout() || !route->isIdempotent)
-        return "not a request over many shards";
+    if (!route)
+        return "no route matches";
     if (!state_.directory.reaches(*route))
         return "upstreams not reached";
     if (state_.schedulingDelay > state_.settings.maxDelegateSchedulingDelay)
--- a/src/entry/internal/requesthandler.h
+++ b/src/entry/internal/requesthandler.h
@@ -16,7 +16,7 @@
 
     http::Response handle(const http::Request&, http::Exchange&);
 
-    // Handles a request over many shards that another VM delegates to this one.
+    // Handles a request that another VM delegates to this one.
     http::Response handleDelegated(const http::Request&, http::Exchange&);
 
 private:
@@ -36,8 +36,18 @@
     http::Response runQuery(
         const RoutedRequest&, std::shared_ptr<const routing::RouteTable>, http::Exchange&, bool isProbe);
 
+    // Why a request is delegated.
+    enum class Delegation : std::uint8_t {
+        None, // this VM runs it
+        Fanout, // larger VMs run the requests over many shards
+        Unreached, // this VM does not reach the upstreams
+    };
+
+    Delegation chooseDelegation(const routing::Route&) const;
+
     // Delegates the request if possible, and runs it here otherwise.
-    http::Response runDelegated(const RoutedRequest&, std::shared_ptr<const routing::RouteTable>, http::Exchange&);
+    http::Response runDelegated(
+        const RoutedRequest&, std::shared_ptr<const routing::RouteTable>, http::Exchange&, Delegation);
     http::Response makeDelegatedResponse(const RoutedRequest&, DelegationResult, http::Exchange&);
     void recordDelegation(const RoutedRequest&, const DelegationResult&);
 
