Do not use an unreached upstream until a connection has proved to work

Cause: an upstream counted as reachable while a connection to it was being opened, and as soon as one was accepted. Requests waited on connections that hung for 400 ms, or were written to connections that were reset at once; what has been written may have run.

An upstream whose last connection failed is used again once a connection has been answered, or has been open for 50 ms, which the probe of the pool shows. A selector leaves it out until then.

Two tests of the pool, of which the first fails without the time of proof.

--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -189,7 +189,9 @@
 
 bool Directory::isReachable(UpstreamId id) const
 {
-    return upstreams_[id].pool->isReachable() && !upstreams_[id].pacer.isPaused(now_());
+    const PooledUpstream& pooled = upstreams_[id];
+    return pooled.pool->reach() != upstreamclient::Reach::Unreached && pooled.pool->isReachable()
+        && !pooled.pacer.isPaused(now_());
 }
 
 void Directory::onSent(UpstreamId id, AttemptId attempt, base::Duration typical)
--- a/src/upstreamclient/connectionpool.cpp
+++ b/src/upstreamclient/connectionpool.cpp
@@ -100,11 +100,20 @@
     return !isRetired_ && (isConnected || hooks_.now() >= retryConnectAt_);
 }
 
+bool ConnectionPool::hasProvenConnection(base::TimePoint openedAfter) const
+{
+    return std::ranges::any_of(connections_, [&](const auto& connection) {
+        return connection->openedAt() >= openedAfter && connection->isProven(hooks_.now());
+    });
+}
+
 Reach ConnectionPool::reach() const
 {
-    if (std::ranges::any_of(connections_, [](const auto& connection) { return connection->isEstablished(); }))
-        return Reach::Reached;
-    return hasConnectFailed_ ? Reach::Unreached : Reach::Unknown;
+    if (hasConnectFailed_)
+        return hasProvenConnection({}) ? Reach::Reached : Reach::Unreached;
+    return std::ranges::any_of(connections_, [](const auto& connection) { return connection->isEstablished(); })
+        ? Reach::Reached
+        : Reach::Unknown;
 }
 
 void ConnectionPool::send(const Attempt& attempt, AttemptCallback callback)
@@ -135,16 +144,13 @@
 {
     connectFailures_ = 0;
     retryConnectAt_ = {};
-}
-
-void ConnectionPool::onConnected()
-{
     hasConnectFailed_ = false;
 }
 
 void ConnectionPool::onConnectFailed()
 {
     hasConnectFailed_ = true;
+    connectFailedAt_ = hooks_.now();
     const std::uint32_t doublings = std::min(connectFailures_++, MaxBackoffDoublings);
     retryConnectAt_ = hooks_.now() + FirstConnectBackoff * (1U << doublings);
 }
@@ -209,6 +215,8 @@
         closeSilentSince(connection->sentAt());
         connection->close("no answer in time");
     }
+    if (hasConnectFailed_ && hasProvenConnection(connectFailedAt_))
+        hasConnectFailed_ = false;
     closeUnneeded(now);
     checkLostAttempts(now);
     keepWarm();
--- a/src/upstreamclient/connectionpool.h
+++ b/src/upstreamclient/connectionpool.h
@@ -76,7 +76,7 @@
     void open();
     std::shared_ptr<Connection> findConnection() const;
     std::size_t connectionLimit() const;
-    void onConnected();
+    bool hasProvenConnection(base::TimePoint openedAfter) const;
     void onConnectFailed();
     void onAnswered();
     void onAttemptLost(const Attempt&);
@@ -94,7 +94,8 @@
     std::vector<std::shared_ptr<Connection>> connections_;
     std::uint32_t connectFailures_ { 0 }; // consecutive
     base::TimePoint retryConnectAt_;
-    bool hasConnectFailed_ { false }; // the last connection that was opened, or reset before any response
+    base::TimePoint connectFailedAt_; // last failure to open a connection, or reset before any response
+    bool hasConnectFailed_ { false }; // and no connection opened since is known to work
     std::size_t reducedLimit_ { 0 }; // in force while the upstream accepts fewer connections than configured
     base::TimePoint reducedLimitUntil_;
     std::vector<std::function<void()>> lostAttempts_; // whose upstream may have crashed; called if it has
--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -35,6 +35,9 @@
     // An attempt is aborted this long after its deadline: no answer is expected any more.
     constexpr base::Duration DeadlineGracePeriod = std::chrono::milliseconds(100);
 
+    // An upstream at its limit, or a device in front of it, resets a new connection within this time.
+    constexpr base::Duration ProofTime = std::chrono::milliseconds(50);
+
     constexpr std::size_t ReadBytes = 4'096;
 
     // Bytes of an attempt beside its response body: header fields, chunk headers, interim and unmatched responses.
@@ -68,7 +71,6 @@
     isOpen_ = true;
     openedAt_ = pool_->hooks_.now();
     lastProgress_ = openedAt_;
-    pool_->onConnected();
     return true;
 }
 
@@ -301,6 +303,11 @@
     socket_.cancel(ignored);
 }
 
+bool Connection::isProven(base::TimePoint now) const
+{
+    return isEstablished() && (responseCount_ > 0 || now >= openedAt_ + ProofTime);
+}
+
 bool Connection::isStale() const
 {
     return idleTimeout_ && pool_->hooks_.now() - lastProgress_ > *idleTimeout_ - IdleMargin;
--- a/src/upstreamclient/internal/connection.h
+++ b/src/upstreamclient/internal/connection.h
@@ -38,6 +38,10 @@
     bool isEstablished() const { return isOpen_ && !isClosing_; }
     bool isBusy() const { return attempt_.has_value(); }
     bool isOverdue(base::TimePoint now) const;
+
+    // Returns whether the upstream has responded on this connection, or has at least not reset it for some time.
+    bool isProven(base::TimePoint now) const;
+    base::TimePoint openedAt() const { return openedAt_; }
     base::TimePoint sentAt() const { return sentAt_; }
     base::TimePoint lastProgress() const { return lastProgress_; }
 
--- a/src/upstreamclient/tests/connectionpooltests.cpp
+++ b/src/upstreamclient/tests/connectionpooltests.cpp
@@ -384,6 +384,52 @@
         });
 }
 
+// Load pattern: a VM has lost its links, and what is in front of the upstreams accepts connections and resets them.
+Test(ConnectionPool, doesNotCountUpstreamAsReachedByConnectionsThatAreReset)
+{
+    withServer(
+        [count = std::make_shared<int>(0)](RawConnection& connection) {
+            if (++*count > 4) {
+                answerEachRequest(connection);
+                return;
+            }
+            connection.pause(std::chrono::milliseconds(5));
+            connection.reset();
+        },
+        [](Harness& harness) {
+            cr_expect(harness.pool->reach() == Reach::Unknown);
+            harness.pool->keepWarm();
+            cr_assert(harness.eventually([&] { return harness.pool->reach() == Reach::Unreached; }));
+            while (harness.server.accepted() <= 4) {
+                cr_assert(harness.pool->reach() == Reach::Unreached);
+                runtime::sleepFor(harness.io, std::chrono::milliseconds(1));
+                harness.pool->sweep();
+            }
+            cr_assert(harness.eventually([&] { return harness.pool->reach() == Reach::Reached; }));
+            cr_expect(harness.sendAndWait("1").has_value());
+        });
+}
+
+// Nobody but the probe would notice that an upstream without warm connections is back.
+Test(ConnectionPool, probesAnUnreachedUpstreamWithoutWarmConnections)
+{
+    withServer(
+        [count = std::make_shared<int>(0)](RawConnection& connection) {
+            if (++*count > 1)
+                answerEachRequest(connection);
+            else
+                connection.reset();
+        },
+        [](Harness& harness) {
+            PoolSettings settings = harness.pool->settings();
+            settings.warmConnections = 0;
+            harness.pool->setSettings(settings);
+            cr_expect(!harness.sendAndWait("1").has_value());
+            cr_assert(harness.pool->reach() == Reach::Unreached);
+            cr_assert(harness.eventually([&] { return harness.pool->reach() == Reach::Reached; }));
+        });
+}
+
 Test(ConnectionPool, reportsWhenAnotherProcessHasTheAddress)
 {
     withServer(
--- a/src/upstreamclient/types.h
+++ b/src/upstreamclient/types.h
@@ -78,7 +78,7 @@
 enum class Reach : std::uint8_t {
     Unknown, // no connection, and the last one that was opened did not fail
     Reached, // a connection is established
-    Unreached, // no connection is established, and the last one could not be opened
+    Unreached, // the last connection could not be opened, and no other is known to work
 };
 
 std::string_view toString(Reach);
