Keep pauses of more than a minute that an upstream asks for

Cause: the limit against damaged fields was as short as pauses that upstreams may really ask for. Pauses of up to an hour are kept now; a longer one counts as a damaged field and is 60 s, as before.

UpstreamPacer/keepsPausesOfMinutes failed before; the test of absurd values is unchanged.

--- a/src/balancing/tests/upstreampacertests.cpp
+++ b/src/balancing/tests/upstreampacertests.cpp
@@ -114,3 +114,13 @@
     pacer.onResponse({ .pause = std::chrono::duration<double>(1e300) }, Start + std::chrono::seconds(4));
     cr_expect(!pacer.isPaused(Start + std::chrono::minutes(2)), "a damaged field does not end the use for good");
 }
+
+// Load pattern: an upstream that is to be repaired asks for a pause of minutes.
+Test(UpstreamPacer, keepsPausesOfMinutes)
+{
+    using std::chrono::seconds;
+    UpstreamPacer pacer;
+    pacer.onResponse({ .pause = seconds(600) }, Start);
+    cr_expect(pacer.isPaused(Start + seconds(599)));
+    cr_expect(!pacer.isPaused(Start + seconds(600)));
+}
--- a/src/balancing/upstreampacer.cpp
+++ b/src/balancing/upstreampacer.cpp
@@ -12,14 +12,16 @@
     // Over all VMs together. Without any request the VMs would not learn that the limit has ended.
     constexpr double MinRequestsPerSecond = 0.5;
 
-    // A damaged field must not keep an upstream out of use for good.
-    constexpr std::chrono::duration<double> MaxPause = std::chrono::seconds(60);
+    // A longer pause is taken for a damaged field, which must not keep an upstream out of use for good.
+    constexpr std::chrono::duration<double> MaxPause = std::chrono::hours(1);
+    constexpr std::chrono::duration<double> PauseAfterDamagedField = std::chrono::seconds(60);
 
 } // namespace
 
 void UpstreamPacer::onResponse(const UpstreamNotice& notice, base::TimePoint now)
 {
-    pausedUntil_ = std::max(pausedUntil_, now + std::chrono::ceil<base::Duration>(std::min(notice.pause, MaxPause)));
+    const auto pause = notice.pause <= MaxPause ? notice.pause : PauseAfterDamagedField;
+    pausedUntil_ = std::max(pausedUntil_, now + std::chrono::ceil<base::Duration>(pause));
     if (requestsPerSecond_ == notice.requestsPerSecond)
         return;
     const bool wasLimited = requestsPerSecond_.has_value();
