--- a/soak/portowners.h
+++ b/soak/portowners.h
@@ -13,7 +13,7 @@
 using PortAndPeer = std::pair<std::uint16_t, std::uint32_t>;
 
 // Returns the TCP connections of the processes, with the process of each. Connections of all VMs come from one loopback
-// address, so that only the port tells which VM has opened one.
+// address, so that only the port identifies the VM that has opened one.
 std::map<PortAndPeer, pid_t> findPortOwners(const std::vector<pid_t>& processes);
 
 } // namespace flamingousher::soak
--- a/src/upstreamclient/tests/connectionpooltests.cpp
+++ b/src/upstreamclient/tests/connectionpooltests.cpp
@@ -410,7 +410,7 @@
         });
 }
 
-// Nobody but the probe would notice that an upstream without warm connections is back.
+// Only the probe shows that an upstream without warm connections is back.
 Test(ConnectionPool, probesAnUnreachedUpstreamWithoutWarmConnections)
 {
     withServer(
