--- a/src/entry/types.h
+++ b/src/entry/types.h
@@ -54,7 +54,7 @@
     std::string region;
     std::map<std::string, std::string> regions; // region of each availability zone
     http::Endpoint callers;
-    std::optional<http::Endpoint> fanouts; // accepts requests over many shards that other VMs delegate
+    std::optional<http::Endpoint> fanouts; // accepts requests that other VMs delegate
     double retryRatio { 0.2 }; // extra attempts per request to a service, over all VMs
     double retrySlack { 0 }; // extra attempts per window regardless of the requests, over all VMs
     base::Duration retryWindow { std::chrono::seconds(10) };
