--- a/review/standins/answerchecks.cpp
+++ b/review/answerchecks.cpp
@@ -1,4 +1,4 @@
-#include "standins/answerchecks.h"
+#include "review/answerchecks.h"
 
 #include "platform/names.h"
 
--- a/review/standins/caller.cpp
+++ b/review/caller.cpp
@@ -1,4 +1,4 @@
-#include "standins/caller.h"
+#include "review/caller.h"
 
 #include "http/client.h"
 #include "platform/names.h"
--- a/review/standins/caller.h
+++ b/review/caller.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "standins/world.h"
+#include "review/world.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
--- a/review/case.sh
+++ b/review/case.sh
@@ -1,5 +1,5 @@
 # Runs a case of the review. Sourced by its run.sh, not run.
-# The caller sets: name (of the case in target/review/flamingousher-review). TROUBLE=0 leaves the disruption out.
+# The caller sets: name (of the case in target/review/flamingousher-review) and trouble (0: without the disruption).
 
 folder=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
 cd "$folder/../.."
@@ -27,10 +27,8 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
-trouble=true
-[ "${TROUBLE:-1}" = 0 ] && trouble=false
 timeout --kill-after=2 116 "$review" --name="$name" --daemon="$daemon" --folder="$work" --record="$folder/record.txt" \
-    --slot="$slot" --trouble="$trouble" &
+    --slot="$slot" --trouble="$([ "$trouble" = 0 ] && echo false || echo true)" &
 child=$!
 wait "$child"
 status=$?
--- a/review/standins/cases.h
+++ b/review/cases.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "standins/world.h"
+#include "review/world.h"
 
 namespace flamingousher::review {
 
--- a/review/standins/main.cpp
+++ b/review/main.cpp
@@ -1,8 +1,8 @@
 // Runs one case of the review: starts VMs of the product as processes against stand-ins. Exits with 1 if the rule was
 // broken, 0 if it held and 2 if the case could not run.
 
+#include "review/cases.h"
 #include "runtime/fiberthread.h"
-#include "standins/cases.h"
 
 #include <gflags/gflags.h>
 
--- a/review/standins/record.cpp
+++ b/review/record.cpp
@@ -1,4 +1,4 @@
-#include "standins/record.h"
+#include "review/record.h"
 
 #include <stdexcept>
 
--- a/review/standins/routeremoval.cpp
+++ b/review/routeremoval.cpp
@@ -1,5 +1,5 @@
-#include "standins/caller.h"
-#include "standins/cases.h"
+#include "review/caller.h"
+#include "review/cases.h"
 
 #include "runtime/fiberthread.h"
 #include "runtime/sleep.h"
--- a/review/standins/searcher.cpp
+++ b/review/searcher.cpp
@@ -1,4 +1,4 @@
-#include "standins/searcher.h"
+#include "review/searcher.h"
 
 #include "platform/names.h"
 #include "runtime/sleep.h"
--- a/review/standins/searcher.h
+++ b/review/searcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "http/server.h"
-#include "standins/record.h"
+#include "review/record.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/review/standins/singleservice.cpp
+++ b/review/singleservice.cpp
@@ -1,4 +1,4 @@
-#include "standins/singleservice.h"
+#include "review/singleservice.h"
 
 #include "runtime/fiberthread.h"
 #include "runtime/sleep.h"
--- a/review/standins/singleservice.h
+++ b/review/singleservice.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "standins/caller.h"
+#include "review/caller.h"
 
 #include <random>
 #include <vector>
--- a/review/standins/unmarkedrefusal.cpp
+++ b/review/unmarkedrefusal.cpp
@@ -1,7 +1,7 @@
-#include "standins/answerchecks.h"
-#include "standins/caller.h"
-#include "standins/cases.h"
-#include "standins/singleservice.h"
+#include "review/answerchecks.h"
+#include "review/caller.h"
+#include "review/cases.h"
+#include "review/singleservice.h"
 
 #include "platform/names.h"
 
--- a/review/standins/world.cpp
+++ b/review/world.cpp
@@ -1,4 +1,4 @@
-#include "standins/world.h"
+#include "review/world.h"
 
 #include "http/client.h"
 #include "platform/names.h"
--- a/review/standins/world.h
+++ b/review/world.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "platform/standins/storestandin.h"
+#include "review/searcher.h"
 #include "routing/types.h"
 #include "soak/vmprocess.h"
-#include "standins/searcher.h"
 
 #include <memory>
 #include <string>
