Let review cases choose free loopback addresses

Cause: a script ended with status 2 when another program had bound the addresses that it had drawn from its process id. Change: the stand-ins try one slot of addresses after the other.

--- a/review/case.sh
+++ b/review/case.sh
@@ -10,8 +10,6 @@
     exit 2
 fi
 work=$(mktemp -d) || exit 2
-# Scripts that run at the same time use different loopback addresses.
-slot=$((64 + $$ % 160))
 child=
 finish() {
     local process
@@ -28,7 +26,7 @@
 trap finish EXIT
 trap 'exit 2' INT TERM
 timeout --kill-after=2 116 "$review" --name="$name" --daemon="$daemon" --folder="$work" --record="$folder/record.txt" \
-    --slot="$slot" --trouble="$([ "$trouble" = 0 ] && echo false || echo true)" &
+    --slot="$$" --trouble="$([ "$trouble" = 0 ] && echo false || echo true)" &
 child=$!
 wait "$child"
 status=$?
--- a/review/main.cpp
+++ b/review/main.cpp
@@ -13,7 +13,7 @@
 DEFINE_string(daemon, "", "Path of flamingousherd.");
 DEFINE_string(folder, "", "Folder for the settings and logs of the VMs.");
 DEFINE_string(record, "", "File that tells what was sent, answered and run.");
-DEFINE_uint32(slot, 100, "Loopback addresses are 127.slot.x.y; cases that run at the same time need different ones.");
+DEFINE_uint32(slot, 0, "First slot of loopback addresses that is tried.");
 DEFINE_bool(trouble, true, "False: without the disruption.");
 
 int main(int argc, char** argv)
@@ -31,8 +31,8 @@
     const Verdict verdict = thread.call([&] {
         try {
             auto* record = new review::Record(FLAGS_record); // fibers use these until this process exits
-            auto* world
-                = new review::World(thread.io(), *record, { FLAGS_daemon, FLAGS_folder, FLAGS_slot, FLAGS_trouble });
+            auto* world = new review::World(thread.io(), *record,
+                { FLAGS_daemon, FLAGS_folder, review::findFreeSlot(thread.io(), FLAGS_slot), FLAGS_trouble });
             const Verdict seen = found->second(*world, FLAGS_trouble);
             world->stop();
             record->write("verdict " + std::to_string(static_cast<int>(seen)));
--- a/review/world.cpp
+++ b/review/world.cpp
@@ -4,6 +4,7 @@
 #include "platform/names.h"
 #include "platform/standins/storeentries.h"
 #include "runtime/fiberthread.h"
+#include "runtime/listen.h"
 #include "runtime/sleep.h"
 
 #include <array>
@@ -31,10 +32,35 @@
     constexpr seconds StartTimeout { 15 };
     constexpr seconds SettleTime { 3 }; // for the VMs to know each other
 
+    constexpr std::uint32_t MinSlot = 64;
+    constexpr std::uint32_t SlotCount = 160;
+
     const std::array<const char*, 2> Zones { "a", "b" };
 
+    std::string makeAddress(std::uint32_t slot, std::uint32_t group, std::size_t index)
+    {
+        return "127." + std::to_string(slot) + "." + std::to_string(group) + "." + std::to_string(index + 1);
+    }
+
+    bool isFree(boost::asio::io_context& io, const std::string& address, std::uint16_t port)
+    {
+        boost::asio::ip::tcp::acceptor acceptor(io);
+        return !runtime::listenOn(acceptor, { boost::asio::ip::make_address(address), port });
+    }
+
 } // namespace
 
+std::uint32_t findFreeSlot(boost::asio::io_context& io, std::uint32_t first)
+{
+    for (std::uint32_t offset = 0; offset < SlotCount; ++offset) {
+        const std::uint32_t slot = MinSlot + (first + offset) % SlotCount;
+        if (isFree(io, makeAddress(slot, 1, 0), soak::CallersPort) && isFree(io, makeAddress(slot, 2, 0), SearcherPort)
+            && isFree(io, makeAddress(slot, 3, 0), StorePort))
+            return slot;
+    }
+    throw std::runtime_error("no free loopback addresses");
+}
+
 World::World(boost::asio::io_context& io, Record& record, const CaseOptions& options)
     : io_(io)
     , record_(record)
@@ -46,7 +72,7 @@
 
 std::string World::address(std::uint32_t group, std::size_t index) const
 {
-    return "127." + std::to_string(options_.slot) + "." + std::to_string(group) + "." + std::to_string(index + 1);
+    return makeAddress(options_.slot, group, index);
 }
 
 std::string World::endpoint(std::uint32_t group, std::size_t index, std::uint16_t port) const
--- a/review/world.h
+++ b/review/world.h
@@ -33,6 +33,9 @@
     int status { 0 }; // as reported by waitpid()
 };
 
+// Returns the first slot of loopback addresses, from the given one on, that no other world uses.
+std::uint32_t findFreeSlot(boost::asio::io_context&, std::uint32_t first);
+
 // The platform's store, the searchers, and the VMs of a small deployment, on loopback addresses.
 class World {
 public:
