--- a/review/caller.cpp
+++ b/review/caller.cpp
@@ -26,8 +26,8 @@
         "Version/4.0 Chrome/124.0.6367.82 Mobile Safari/537.36",
         "Mozilla/5.0 (Linux; Android 13; SM-A536B Build/TP1A.220624.014; wv) AppleWebKit/537.36 (KHTML, like Gecko) "
         "Version/4.0 Chrome/123.0.6312.99 Mobile Safari/537.36",
-        "Mozilla/5.0 (Linux; Android 11; Redmi Note 8 Pro Build/RP1A.200720.011; wv) AppleWebKit/537.36 (KHTML, like "
-        "Gecko) Version/4.0 Chrome/122.0.6261.64 Mobile Safari/537.36",
+        "Mozilla/5.0 (Linux; Android 14; SM-A145R Build/UP1A.231005.007; wv) AppleWebKit/537.36 (KHTML, like Gecko) "
+        "Version/4.0 Chrome/124.0.6367.54 Mobile Safari/537.36",
         "Mozilla/5.0 (Linux; Android 12; moto g52 Build/S1SRS32.38; wv) AppleWebKit/537.36 (KHTML, like Gecko) "
         "Version/4.0 Chrome/122.0.6261.64 Mobile Safari/537.36",
         "Mozilla/5.0 (iPhone; CPU iPhone OS 17_4_1 like Mac OS X) AppleWebKit/605.1.15 (KHTML, like Gecko) "
--- a/review/routeremoval.cpp
+++ b/review/routeremoval.cpp
@@ -23,7 +23,7 @@
     constexpr std::size_t ShardReplicas = 3;
     constexpr std::size_t SingleReplicas = 7;
     constexpr std::size_t RoutesPerKind = 2;
-    constexpr std::size_t CallerCount = 90;
+    constexpr std::size_t CallerCount = 100;
     constexpr std::uint32_t RequestsPerConnection = 20;
     constexpr std::uint32_t MaxPauseMs = 640;
     constexpr const char* Host = "sklep.example";
