Let requests share the ownership of their route's latency estimate

Cause: a request in progress kept a reference to the latency estimate of its route, which EntryState::applyRoutes frees with a configuration that does not have the route. Its next answer wrote to freed memory; hooks and timers read from it. By reading, the same cause on related ways: the estimate of delegated requests, which is looked up again by name when the delegate answers. That and the failure response created the estimate of a removed route anew, which a route that came back under its name then inherited.

Change: requests share the ownership of the estimates of their route, taken once from the route table that they hold (RouteLatencies). A removed route's estimates live until its last request ends, and a route that returns starts anew. Looked at beside it: services, upstreams, pools and quotas are never freed or are shared (Directory::services_, the identifiers of upstreams are not reused); credits of weights and refused routes are copied values by name, and compared before use; the route table was shared already.

--- a/src/entry/internal/activerequest.cpp
+++ b/src/entry/internal/activerequest.cpp
@@ -18,15 +18,15 @@
 } // namespace
 
 ActiveRequest::ActiveRequest(EntryState& state, std::shared_ptr<const routing::RouteTable> routes,
-    const routing::Route& route, const DecodedRequest& request, std::vector<std::shared_ptr<ServiceState>> services,
-    const fanout::FanoutSpec& spec)
+    const routing::Route& route, std::shared_ptr<RouteLatency> latency, const DecodedRequest& request,
+    std::vector<std::shared_ptr<ServiceState>> services, const fanout::FanoutSpec& spec)
     : state_(state)
     , routes_(std::move(routes))
     , route_(route)
     , outboundRequest_(request.outbound)
     , services_(std::move(services))
     , spec_(spec)
-    , latency_(state.subRequestLatency(route))
+    , latency_(std::move(latency))
     , query_(spec, makeHooks())
     , timer_(state.io)
     , replies_(services_.size())
@@ -39,9 +39,9 @@
     return {
         [this](std::uint32_t shard, const std::vector<UpstreamId>& tried) {
             return state_.directory.selector().choose(
-                services_[shard]->upstreams, tried, latency_.typical(), state_.now());
+                services_[shard]->upstreams, tried, latency_->subRequests.typical(), state_.now());
         },
-        [this](std::uint32_t, UpstreamId) { return latency_.hedgeDelay(); },
+        [this](std::uint32_t, UpstreamId) { return latency_->subRequests.hedgeDelay(); },
         [this](std::uint32_t shard, balancing::ExtraAttempt kind) {
             return services_[shard]->budget.tryAcquire(kind, state_.now());
         },
@@ -144,7 +144,7 @@
 {
     const base::TimePoint now = state_.now();
     inFlight_.emplace(action.attempt, InFlightAttempt { action.upstream, action.shard, now });
-    state_.directory.onSent(action.upstream, action.attempt, latency_.typical());
+    state_.directory.onSent(action.upstream, action.attempt, latency_->subRequests.typical());
     recordEvent(action.isExtra ? EventKind::Hedged : EventKind::Sent, action.shard, action.upstream);
     state_.directory.pool(action.upstream)
         .send({ action.attempt, outboundRequest_, spec_.deadline, spec_.isIdempotent,
@@ -196,7 +196,7 @@
     case ReplyKind::Success:
         onResponse();
         state_.directory.selector().onAnswered(attempt.upstream, id, now);
-        latency_.observe(now - attempt.at);
+        latency_->subRequests.observe(now - attempt.at);
         replies_[attempt.shard] = std::move(reply);
         apply(query_.onAnswered(id, now));
         return;
--- a/src/entry/internal/activerequest.h
+++ b/src/entry/internal/activerequest.h
@@ -27,8 +27,9 @@
 class ActiveRequest : public std::enable_shared_from_this<ActiveRequest> {
 public:
     // services: one per shard. The route must belong to the route table, which is kept alive.
-    ActiveRequest(EntryState&, std::shared_ptr<const routing::RouteTable>, const routing::Route&, const DecodedRequest&,
-        std::vector<std::shared_ptr<ServiceState>> services, const fanout::FanoutSpec&);
+    ActiveRequest(EntryState&, std::shared_ptr<const routing::RouteTable>, const routing::Route&,
+        std::shared_ptr<RouteLatency>, const DecodedRequest&, std::vector<std::shared_ptr<ServiceState>> services,
+        const fanout::FanoutSpec&);
 
     // Runs the request to completion; blocks the calling fiber.
     fanout::FinishFanout run();
@@ -84,7 +85,7 @@
     std::shared_ptr<const upstreamclient::OutboundRequest> outboundRequest_;
     std::vector<std::shared_ptr<ServiceState>> services_;
     fanout::FanoutSpec spec_;
-    fanout::SubRequestLatency& latency_;
+    std::shared_ptr<RouteLatency> latency_;
     fanout::FanoutQuery query_;
     boost::asio::steady_timer timer_;
     base::TimePoint timerExpiry_;
--- a/src/entry/internal/entrystate.cpp
+++ b/src/entry/internal/entrystate.cpp
@@ -1,7 +1,5 @@
 #include "entry/internal/entrystate.h"
 
-#include <algorithm>
-
 namespace flamingousher::entry {
 
 namespace {
@@ -30,26 +28,11 @@
 void EntryState::applyRoutes(const std::shared_ptr<const routing::RouteTable>& table)
 {
     routes = table;
-    const auto isRemoved = [&](const auto& entry) {
-        return std::ranges::none_of(
-            table->configuration().routes, [&](const routing::Route& route) { return route.name == entry.first; });
-    };
-    std::erase_if(latencyByRoute, isRemoved);
-    std::erase_if(delegatedLatencyByRoute, isRemoved);
+    latencies.retain(table->configuration());
     directory.applyConfiguration(*table);
     updateDelegates();
 }
 
-fanout::SubRequestLatency& EntryState::subRequestLatency(const routing::Route& route)
-{
-    return latencyByRoute.try_emplace(route.name, route.goal).first->second;
-}
-
-fanout::SubRequestLatency& EntryState::delegatedLatency(const routing::Route& route)
-{
-    return delegatedLatencyByRoute.try_emplace(route.name, route.goal).first->second;
-}
-
 void EntryState::onCrash(
     quarantine::Fingerprint fingerprint, std::uint32_t crashesWhenSent, const std::string& upstream)
 {
--- a/src/entry/internal/entrystate.h
+++ b/src/entry/internal/entrystate.h
@@ -4,17 +4,16 @@
 #include "delegation/unreachedroutes.h"
 #include "entry/internal/delegates.h"
 #include "entry/internal/directory.h"
+#include "entry/internal/routelatencies.h"
 #include "entry/internal/writetimes.h"
 #include "entry/types.h"
 #include "eventlog/eventlog.h"
-#include "fanout/subrequestlatency.h"
 #include "http/server.h"
 #include "metrics/registry.h"
 #include "quarantine/quarantine.h"
 #include "routing/routetable.h"
 #include "routing/servicesplit.h"
 
-#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -31,12 +30,6 @@
 
     void applyRoutes(const std::shared_ptr<const routing::RouteTable>&);
 
-    // Returns the observed latencies of the route's sub-requests.
-    fanout::SubRequestLatency& subRequestLatency(const routing::Route&);
-
-    // Returns the observed latencies of the route's delegated requests.
-    fanout::SubRequestLatency& delegatedLatency(const routing::Route&);
-
     // Updates the delegates after a change of the fleet, the configuration or the upstreams.
     void updateDelegates();
 
@@ -64,8 +57,7 @@
     std::function<void(const quarantine::CrashRecord&)> reportCrash; // to the other VMs; may be empty
     std::shared_ptr<const routing::RouteTable> routes; // null until a configuration is loaded
     routing::ServiceSplit split;
-    std::map<std::string, fanout::SubRequestLatency> latencyByRoute;
-    std::map<std::string, fanout::SubRequestLatency> delegatedLatencyByRoute;
+    RouteLatencies latencies;
     WriteTimes writeTimes;
     base::Duration schedulingDelay { 0 }; // recent delay until a due task of this thread runs
     std::uint64_t lastId { 0 };
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -101,8 +101,8 @@
         timeout = std::min<base::Duration>(timeout, *decoded->timeout);
     const AnswerTimes deadlines = computeAnswerTimes(
         now, { route->goal, timeout, state_.writeTimes.reserve() }, exchange.roundTrip, exchange.isFirst);
-    RoutedRequest routed { request, *decoded, *route, now, deadlines.goal, deadlines.deadline, route->maxAttempts,
-        now };
+    RoutedRequest routed { request, *decoded, *route, state_.latencies.of(*route), now, deadlines.goal,
+        deadlines.deadline, route->maxAttempts, now };
     if (state_.shutdown) {
         if (!state_.shutdown->admits(now, routed.goal, routed.deadline)) {
             return refuse(routed,
@@ -146,7 +146,7 @@
     const auto delegated = std::make_shared<DelegatedRequest>(state_,
         delegation::makeDelegatedRequest(*routed.decoded.outbound, routes->configuration().version,
             routed.deadline - routed.goal, canRunHere ? confirmWithin : base::Duration::zero()),
-        DelegatedRequest::Limits { routed.deadline, confirmWithin, state_.delegatedLatency(routed.route).typical(),
+        DelegatedRequest::Limits { routed.deadline, confirmWithin, routed.latency->delegations.typical(),
             canRunHere ? MaxDelegatesTried : MaxSoleDelegatesTried });
     exchange.onPeerGone = [weak = std::weak_ptr(delegated)] {
         if (const auto request = weak.lock())
@@ -179,7 +179,7 @@
             { code, base::Step::Peer, result.delegate, result.detail, RunState::Unknown }, base::Duration::zero());
     }
     const base::TimePoint answeredAt = state_.now();
-    state_.delegatedLatency(routed.route).observe(answeredAt - routed.receivedAt);
+    routed.latency->delegations.observe(answeredAt - routed.receivedAt);
     exchange.onWritten = [this, answeredAt] { state_.writeTimes.observe(state_.now() - answeredAt); };
     upstreamclient::UpstreamReply reply;
     reply.response = *std::move(result.response);
@@ -228,8 +228,8 @@
     const base::Duration untilGoal = std::max(base::Duration::zero(), limits->remaining - limits->goalLead);
     const AnswerTimes times = computeAnswerTimes(
         now, { untilGoal, limits->remaining, state_.writeTimes.reserve() }, exchange.roundTrip, false);
-    RunResult result = run({ callerRequest, *decoded, *route, now, times.goal, times.deadline, route->maxAttempts,
-                               now + limits->confirmWithin },
+    RunResult result = run({ callerRequest, *decoded, *route, state_.latencies.of(*route), now, times.goal,
+                               times.deadline, route->maxAttempts, now + limits->confirmWithin },
         routes, exchange);
     if (result.isUnreached)
         result.response = delegation::refuseDelegated(request, "upstreams not reached");
@@ -252,7 +252,7 @@
 balancing::AdmissionDecision RequestHandler::admit(
     const RoutedRequest& routed, const std::vector<std::shared_ptr<ServiceState>>& services)
 {
-    const base::Duration typical = state_.subRequestLatency(routed.route).typical();
+    const base::Duration typical = routed.latency->subRequests.typical();
     std::vector<balancing::ShardLoad> loads;
     loads.reserve(services.size());
     for (const auto& service : services)
@@ -290,7 +290,7 @@
         routed.route.minCoverage, routed.maxAttempts, routed.route.isIdempotent, routed.hedgeFrom,
         state_.writeTimes.spread(), isProbe };
     const auto active = std::make_shared<ActiveRequest>(
-        state_, std::move(routes), routed.route, routed.decoded, std::move(services), spec);
+        state_, std::move(routes), routed.route, routed.latency, routed.decoded, std::move(services), spec);
     exchange.onPeerGone = [weak = std::weak_ptr(active)] {
         if (const auto request = weak.lock())
             request->abandon();
@@ -328,7 +328,7 @@
         return state_.callers.encodeSingle(routed.request, *std::move(active.failedReply()));
     const std::string reason = result.missing.empty() ? std::string() : result.missing.front().reason;
     if (result.runState == RunState::NotRun) {
-        const base::Duration typical = state_.subRequestLatency(routed.route).typical();
+        const base::Duration typical = routed.latency->subRequests.typical();
         return state_.callers.encodeError(routed.request, routed.decoded.requestId,
             { ErrorCode::Overloaded, base::Step::Queue, {}, reason, RunState::NotRun }, typical);
     }
--- a/src/entry/internal/requesthandler.h
+++ b/src/entry/internal/requesthandler.h
@@ -25,6 +25,7 @@
         const http::Request& request;
         const DecodedRequest& decoded;
         const routing::Route& route;
+        std::shared_ptr<RouteLatency> latency;
         base::TimePoint receivedAt;
         base::TimePoint goal;
         base::TimePoint deadline;
