Pass no failure of an upstream on that would mislead its caller

Cause: one for both. platform/upstreamprotocol.cpp judged these responses to be failures, but RequestHandler::makeFailureResponse passed the last failure of a single upstream on unchanged, whatever its status: of a request that is not idempotent at once, of others when the last attempt failed too, and of a delegate's upstream through the delegate.

Change: the protocol also says whether a failure is forwardable: not if its status is a success or promises "not run", its body is encoded, or it bears what cannot be a stamp. Instead of it the caller gets an error of the VM, 502, without the searcher's stamp, Retry-After or Content-Encoding, that promises nothing. Errors that promise nothing (400, 404, 500, 502) are passed on as before.

--- a/src/entry/internal/activerequest.h
+++ b/src/entry/internal/activerequest.h
@@ -43,7 +43,7 @@
     // Moves out the successful replies, in the order of the shards.
     std::vector<upstreamclient::UpstreamReply> takeReplies();
 
-    // Returns the last failure response of an upstream, if any.
+    // Returns the last failure response of an upstream, if any. The caller may get it only if it is forwardable.
     std::optional<upstreamclient::UpstreamReply>& failedReply() { return failedReply_; }
     const std::vector<RequestEvent>& events() const { return events_; }
 
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -318,22 +318,24 @@
         { std::move(replies), static_cast<std::uint32_t>(result.missing.size()), routed.route.recordLimit });
 }
 
-// Passes the failure response of a single upstream on unchanged. Otherwise, if the request has provably not run, the
-// error invites the caller to retry.
+// Passes the failure response of a single upstream on unchanged, unless it would mislead the caller. Otherwise, if the
+// request has provably not run, the error invites the caller to retry.
 http::Response RequestHandler::makeFailureResponse(
     const RoutedRequest& routed, ActiveRequest& active, const FinishFanout& result)
 {
-    const bool isSingle = !routed.route.isFanout();
-    if (isSingle && active.failedReply())
-        return state_.callers.encodeSingle(routed.request, *std::move(active.failedReply()));
+    auto& failedReply = active.failedReply();
+    if (!routed.route.isFanout() && failedReply && failedReply->isForwardable)
+        return state_.callers.encodeSingle(routed.request, *std::move(failedReply));
     const std::string reason = result.missing.empty() ? std::string() : result.missing.front().reason;
     if (result.runState == RunState::NotRun) {
         const base::Duration typical = routed.latency->subRequests.typical();
         return state_.callers.encodeError(routed.request, routed.decoded.requestId,
             { ErrorCode::Overloaded, base::Step::Queue, {}, reason, RunState::NotRun }, typical);
     }
-    const ErrorCode code
-        = result.finishReason == FinishReason::TimedOut ? ErrorCode::DeadlineExceeded : ErrorCode::ConnectionLost;
+    const bool hasMisleadingReply = failedReply && !failedReply->isForwardable;
+    const ErrorCode code = result.finishReason == FinishReason::TimedOut ? ErrorCode::DeadlineExceeded
+        : hasMisleadingReply                                             ? ErrorCode::ProtocolViolation
+                                                                         : ErrorCode::ConnectionLost;
     return state_.callers.encodeError(routed.request, routed.decoded.requestId,
         { code, base::Step::Receive, {}, reason, result.runState }, base::Duration::zero());
 }
--- a/src/http/types.cpp
+++ b/src/http/types.cpp
@@ -36,6 +36,11 @@
     return found == fields.end() ? std::string() : std::string(found->value());
 }
 
+bool hasField(const boost::beast::http::fields& fields, std::string_view name)
+{
+    return fields.find(boost::beast::string_view(name.data(), name.size())) != fields.end();
+}
+
 void setField(boost::beast::http::fields& fields, std::string_view name, std::string_view value)
 {
     fields.set(
--- a/src/http/types.h
+++ b/src/http/types.h
@@ -71,6 +71,7 @@
 
 // Returns the value of a header field, or an empty string when it is absent.
 std::string readField(const boost::beast::http::fields&, std::string_view name);
+bool hasField(const boost::beast::http::fields&, std::string_view name);
 void setField(boost::beast::http::fields&, std::string_view name, std::string_view value);
 
 // Adds a field beside others of the same name.
--- a/src/upstreamclient/types.h
+++ b/src/upstreamclient/types.h
@@ -41,6 +41,8 @@
     UpstreamNotice notice;
     std::optional<std::chrono::seconds> idleTimeout; // after which the upstream closes an idle connection
     http::Response response;
+    // The caller may get this failure: the upstream itself sent it, and it promises nothing that is not proved.
+    bool isForwardable { false };
 };
 
 // Encodes requests to upstreams and decodes their responses.
