End an attempt when another request's answer ends with its connection

Callers saw nothing at once: the request ended at its deadline or by a hedge. But the attempt was never reported as ended, so the upstream counted as busy with it for as long as the process ran, and was chosen less.

Cause: Connection::onReadEnded took a response that ends with its connection for the attempt's, also if its id shows that it is another request's. onResponse leaves the attempt in progress then, and nothing ended it afterwards.

Change: what is still in progress after such a response fails as lost, like after any other end of the connection.

Evidence: ConnectionPool/endsAttemptWhenAnotherAnswerEndsWithTheConnection failed before (the attempt had not ended after 3 s; the test program then hangs).

--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -121,7 +121,9 @@
         parser_->put_eof(parseError);
         if (!parseError && parser_->is_done()) {
             onResponse(parser_->release());
-            return;
+            // It may be the answer to another request.
+            if (!attempt_)
+                return;
         }
     }
     ++pool_->counters_.lost;
--- a/src/upstreamclient/tests/connectionpooltests.cpp
+++ b/src/upstreamclient/tests/connectionpooltests.cpp
@@ -204,6 +204,20 @@
         });
 }
 
+// Fault: an attempt never ended when an answer to another request ended with its connection.
+Test(ConnectionPool, endsAttemptWhenAnotherAnswerEndsWithTheConnection)
+{
+    const auto script = [](RawConnection& connection) {
+        connection.readHead();
+        connection.write("HTTP/1.1 200 OK\r\nId: other\r\n\r\nbody");
+    };
+    withServer(script, [](Harness& harness) {
+        const AttemptResult result = harness.sendAndWait("id-1");
+        cr_assert(!result.has_value());
+        cr_assert_eq(result.error().runState, RunState::Unknown);
+    });
+}
+
 Test(ConnectionPool, closesAConnectionWithUnsolicitedBytes)
 {
     withServer(
