Bound the bytes of all responses by the memory of the VM

What operators of other systems saw: a searcher sent bytes without end, the machine that had called it kept them all and ran out of memory, and the requests of all others ended with it.

Cause: each connection checks its own attempt only, and a body of announced length is allocated whole with its head.

What a connection has allocated for a response counts until the response is written to its caller, on the connections to upstreams and to delegates. Beyond the budget the largest response of the upstream that holds most is evicted: its attempt ends as one that may have run, or, if it is complete and waits for a slow caller, the connection of this caller closes. So the bytes of one upstream do not cost the answers of others. Freed blocks of 256 KiB or more go back to the system at once. Log line response_evicted; gauges response_bytes, response_bytes_limit, responses_evicted.

Not bounded by it: request bodies of callers, the store's response (16 MiB, one at a time), the sockets' own buffers.

--- a/soak/vmprocess.cpp
+++ b/soak/vmprocess.cpp
@@ -36,6 +36,7 @@
     const auto at = [&](std::uint16_t port) { return spec_.address + ":" + std::to_string(port); };
     file << "[node]\nname = " << spec_.name << "\naddress = " << spec_.address << "\nzone = " << spec_.zone
          << "\nregion = r\nzones = a=r,b=r\nprocessor = " << spec_.processor
+         << (spec_.memoryMb > 0 ? "\nmemory_mb = " + std::to_string(spec_.memoryMb) : std::string())
          << "\nshutdown_ms = 6000\n[listen]\ncallers = " << at(CallersPort) << "\nreadiness = " << at(ReadinessPort)
          << "\noperators = " << at(OperatorsPort) << "\nfanouts = " << at(FanoutsPort)
          << "\n[platform]\nkind = store\nstore = " << http::toString(spec_.store)
--- a/soak/vmprocess.h
+++ b/soak/vmprocess.h
@@ -19,6 +19,7 @@
     std::vector<std::string> seeds;
     double processor { 0 }; // stated share of a core
     double retrySlack { 30 };
+    double memoryMb { 0 }; // 0: not stated
 
     bool operator==(const VmSpec&) const = default;
 };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -12,6 +12,8 @@
 #include <cstring>
 #include <memory>
 
+#include <malloc.h>
+
 DEFINE_string(settings, "", "INI file with the settings of this process.");
 DEFINE_bool(check, false, "Check the settings file and exit.");
 
@@ -45,6 +47,14 @@
         spdlog::set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","message":"%v"})");
 }
 
+// Large responses are mapped one by one, and unmapped as soon as they are freed. By default the allocator raises this
+// threshold with the first of them and keeps the memory of all that follow.
+void limitRetainedMemory()
+{
+    constexpr int LargeBytes = 256 * 1024;
+    ::mallopt(M_MMAP_THRESHOLD, LargeBytes);
+}
+
 bool hasArgument(int argc, char** argv, const char* argument)
 {
     for (int index = 1; index < argc; ++index) {
@@ -96,6 +106,7 @@
     // SIGHUP must not end the process during startup, which reads the settings anyway. A suspended process also
     // receives SIGHUP when the session that started it ends.
     std::signal(SIGHUP, SIG_IGN);
+    limitRetainedMemory();
     using namespace flamingousher;
     if (settings::loadPlatformKind(FLAGS_settings) == settings::PlatformKind::Store) {
         return run(settings::loadVmSettings(FLAGS_settings), [](const settings::VmSettings& vmSettings) {
--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -35,6 +35,8 @@
     // switches to the announcing VM as its source.
     constexpr std::chrono::milliseconds CatchUpTimeout { 300 };
 
+    constexpr double BytesPerMb = 1e6;
+
     fleet::NodeInfo makeNode(const settings::VmSettings& settings)
     {
         return { { http::toString(settings.gossip), 0 }, settings.zone, settings.region,
@@ -50,6 +52,7 @@
         entry.regions = settings.regions;
         entry.callers = settings.callers;
         entry.fanouts = settings.fanouts;
+        entry.memoryBytes = static_cast<std::size_t>(settings.memoryMb * BytesPerMb);
         entry.retryRatio = settings.retryRatio;
         entry.retrySlack = settings.retrySlack;
         entry.retryWindow = settings.retryWindow;
--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -255,6 +255,10 @@
             shared.quarantine.suspectedCount());
         gauge("quarantined_requests", "Requests in quarantine because they crash upstreams.",
             shared.quarantine.quarantinedCount(shared.now()));
+        gauge("responses_evicted", "Attempts ended because this VM held too many bytes of responses.",
+            shared.memory.evictions());
+        gauge("response_bytes", "Bytes held of responses of upstreams and other VMs.", shared.memory.used());
+        gauge("response_bytes_limit", "Limit of response_bytes.", shared.memory.limit());
         gauge("unmatched_answers", "Responses that match no pending request.", counters.unmatched);
         gauge("caller_connections", "Open connections from callers.", state_->server.counters().open);
         gauge("malformed_requests", "Requests of callers rejected as malformed or oversized.",
--- a/src/entry/internal/delegatedrequest.cpp
+++ b/src/entry/internal/delegatedrequest.cpp
@@ -96,7 +96,7 @@
     }
     if (result->kind == ReplyKind::Success) {
         state_.delegates.onAnswered(delegate_, id);
-        result_.response = std::move(result->response);
+        result_.reply = *std::move(result);
         finish(DelegationOutcome::Answered, {});
         return;
     }
--- a/src/entry/internal/delegatedrequest.h
+++ b/src/entry/internal/delegatedrequest.h
@@ -24,9 +24,9 @@
     DelegationOutcome outcome { DelegationOutcome::NotRun };
     std::string delegate; // endpoint of the last one
     std::string detail; // reason for any outcome except Answered
-    std::optional<http::Response> response; // if answered
+    std::optional<upstreamclient::UpstreamReply> reply; // if answered
 
-    bool isAnswered() const { return response.has_value(); }
+    bool isAnswered() const { return reply.has_value(); }
 };
 
 // Delegates one request to another VM. Load pattern: a delegate freezes, is cut off or is overloaded
--- a/src/entry/internal/delegates.cpp
+++ b/src/entry/internal/delegates.cpp
@@ -22,10 +22,11 @@
 
 } // namespace
 
-Delegates::Delegates(boost::asio::io_context& io, const EntrySettings& settings, eventlog::EventLog& log,
-    std::function<base::TimePoint()> now)
+Delegates::Delegates(boost::asio::io_context& io, const EntrySettings& settings, balancing::MemoryBudget& memory,
+    eventlog::EventLog& log, std::function<base::TimePoint()> now)
     : io_(io)
     , settings_(settings)
+    , memory_(memory)
     , log_(log)
     , now_(std::move(now))
     , protocol_(delegation::makeDelegationProtocol())
@@ -80,6 +81,8 @@
         if (outcome == DroppedOutcome::NeverSent)
             lastNeverSent_ = attempt;
     };
+    hooks.openCharge = [this, name = vm.id.endpoint](
+                           std::function<void()> evict) { return memory_.open("delegate " + name, std::move(evict)); };
     delegates_.push_back(
         { vm.fanouts, std::make_shared<ConnectionPool>(io_, poolSettings(vm, endpoint, false), protocol_, hooks) });
     selector_.setUpstream(id, { vm.zone == settings_.zone ? base::Duration::zero() : CrossZonePenalty, 1 }, {});
--- a/src/entry/internal/delegates.h
+++ b/src/entry/internal/delegates.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balancing/memorybudget.h"
 #include "balancing/replicaselector.h"
 #include "entry/types.h"
 #include "eventlog/eventlog.h"
@@ -21,8 +22,8 @@
 public:
     using DelegateId = balancing::UpstreamId;
 
-    Delegates(
-        boost::asio::io_context&, const EntrySettings&, eventlog::EventLog&, std::function<base::TimePoint()> now);
+    Delegates(boost::asio::io_context&, const EntrySettings&, balancing::MemoryBudget&, eventlog::EventLog&,
+        std::function<base::TimePoint()> now);
 
     // Replaces the delegates. isFrequent: requests are delegated all the time, so a connection to each delegate is kept
     // open. Requests in progress at VMs that are no longer listed continue. Returns whether the delegates have changed.
@@ -65,6 +66,7 @@
 
     boost::asio::io_context& io_;
     const EntrySettings& settings_;
+    balancing::MemoryBudget& memory_;
     eventlog::EventLog& log_;
     std::function<base::TimePoint()> now_;
     upstreamclient::UpstreamProtocol protocol_;
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -70,15 +70,18 @@
         sum.silentDropped += counters.silentDropped;
         sum.aborted += counters.aborted;
         sum.crashed += counters.crashed;
+        sum.evicted += counters.evicted;
     }
 
 } // namespace
 
 Directory::Directory(boost::asio::io_context& io, const EntrySettings& settings,
-    const upstreamclient::UpstreamProtocol& protocol, eventlog::EventLog& log, std::function<base::TimePoint()> now)
+    const upstreamclient::UpstreamProtocol& protocol, balancing::MemoryBudget& memory, eventlog::EventLog& log,
+    std::function<base::TimePoint()> now)
     : io_(io)
     , settings_(settings)
     , protocol_(protocol)
+    , memory_(memory)
     , log_(log)
     , now_(std::move(now))
     , maxVmsSeen_(settings.assumedVmCount)
@@ -179,9 +182,21 @@
                 { { "upstream", entry(id).id }, { "endpoint", entry(id).endpoint }, { "service", entry(id).service },
                     { "started_at", entry(id).startedAt }, { "attempts", attempts } });
         },
+        [this, id](std::function<void()> evict) { return openCharge(id, std::move(evict)); },
     };
 }
 
+balancing::MemoryBudget::Charge Directory::openCharge(UpstreamId id, std::function<void()> evict)
+{
+    return memory_.open(entry(id).id, [this, id, evict = std::move(evict)] {
+        if (log_.hasTokens())
+            log_.writeDecision("response_evicted",
+                { { "upstream", entry(id).id }, { "service", entry(id).service }, { "held_bytes", memory_.used() },
+                    { "limit_bytes", memory_.limit() } });
+        evict();
+    });
+}
+
 bool Directory::hasCapacity(UpstreamId id) const
 {
     return upstreams_[id].pool->hasCapacity() && upstreams_[id].pacer.allows(now_());
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -2,6 +2,7 @@
 
 #include "balancing/admission.h"
 #include "balancing/linkmonitor.h"
+#include "balancing/memorybudget.h"
 #include "balancing/replicaselector.h"
 #include "balancing/retrybudget.h"
 #include "balancing/upstreampacer.h"
@@ -45,7 +46,7 @@
 class Directory {
 public:
     Directory(boost::asio::io_context&, const EntrySettings&, const upstreamclient::UpstreamProtocol&,
-        eventlog::EventLog&, std::function<base::TimePoint()> now);
+        balancing::MemoryBudget&, eventlog::EventLog&, std::function<base::TimePoint()> now);
 
     void apply(const std::vector<discovery::DiscoveredUpstream>&);
     void applyConfiguration(const routing::RouteTable&);
@@ -141,12 +142,14 @@
     bool isReachable(UpstreamId) const;
     void onNotice(UpstreamId, const balancing::UpstreamNotice&);
     void onLeaving(UpstreamId);
+    balancing::MemoryBudget::Charge openCharge(UpstreamId, std::function<void()> evict);
     bool hasLeft(const discovery::UpstreamEntry& entry) const { return left_.contains({ entry.id, entry.startedAt }); }
     double requestShare(const std::string& service) const;
 
     boost::asio::io_context& io_;
     EntrySettings settings_;
     const upstreamclient::UpstreamProtocol& protocol_;
+    balancing::MemoryBudget& memory_;
     eventlog::EventLog& log_;
     std::function<base::TimePoint()> now_;
     std::vector<fleet::NodeInfo> vms_; // empty until the fleet is known
--- a/src/entry/internal/entrystate.cpp
+++ b/src/entry/internal/entrystate.cpp
@@ -6,6 +6,10 @@
 
     constexpr std::size_t MaxRecords = 500;
 
+    // A string that grows is copied, and freed memory is not reused at once. Most of the rest of a small VM is taken by
+    // the entries of the upstreams, the connections and requests of callers.
+    constexpr std::size_t ResponseMemoryDivisor = 5;
+
 } // namespace
 
 EntryState::EntryState(boost::asio::io_context& ioContext, const EntrySettings& entrySettings,
@@ -18,8 +22,9 @@
     , now([] { return std::chrono::steady_clock::now(); })
     , log({}, { now, std::move(writeLog) })
     , records(MaxRecords)
-    , directory(ioContext, settings, upstreams, log, now)
-    , delegates(ioContext, settings, log, now)
+    , memory(entrySettings.memoryBytes / ResponseMemoryDivisor)
+    , directory(ioContext, settings, upstreams, memory, log, now)
+    , delegates(ioContext, settings, memory, log, now)
     , quarantine({ .knownSafeCapacity = 0 })
     , reportCrash(std::move(crashReporter))
 {
--- a/src/entry/internal/entrystate.h
+++ b/src/entry/internal/entrystate.h
@@ -49,6 +49,7 @@
     eventlog::EventLog log;
     metrics::Registry metrics;
     accounts::RecordStore records;
+    balancing::MemoryBudget memory; // for responses of upstreams and delegates
     Directory directory;
     Delegates delegates;
     bool isDelegatingFanouts { false }; // all requests over many shards
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -181,10 +181,8 @@
     const base::TimePoint answeredAt = state_.now();
     routed.latency->delegations.observe(answeredAt - routed.receivedAt);
     exchange.onWritten = [this, answeredAt] { state_.writeTimes.observe(state_.now() - answeredAt); };
-    upstreamclient::UpstreamReply reply;
-    reply.response = *std::move(result.response);
-    delegation::removeMarks(reply.response);
-    return state_.callers.encodeSingle(routed.request, std::move(reply));
+    delegation::removeMarks(result.reply->response);
+    return forward(routed.request, *std::move(result.reply), exchange);
 }
 
 const char* RequestHandler::refusalOfDelegated(
@@ -303,17 +301,17 @@
     recordOutcome(routed, outcomeOf(result, isLate), &result, active.get());
     const bool isUnreached = result.finishReason == FinishReason::Failed && result.runState == RunState::NotRun
         && !state_.directory.reaches(routed.route);
-    return { makeResponse(routed, *active, result), isUnreached };
+    return { makeResponse(routed, *active, result, exchange), isUnreached };
 }
 
 http::Response RequestHandler::makeResponse(
-    const RoutedRequest& routed, ActiveRequest& active, const FinishFanout& result)
+    const RoutedRequest& routed, ActiveRequest& active, const FinishFanout& result, http::Exchange& exchange)
 {
     if (result.finishReason != FinishReason::Answered)
-        return makeFailureResponse(routed, active, result);
+        return makeFailureResponse(routed, active, result, exchange);
     auto replies = active.takeReplies();
     if (!routed.route.isFanout())
-        return state_.callers.encodeSingle(routed.request, std::move(replies.front()));
+        return forward(routed.request, std::move(replies.front()), exchange);
     return state_.callers.encodeGathered(routed.request,
         { std::move(replies), static_cast<std::uint32_t>(result.missing.size()), routed.route.recordLimit });
 }
@@ -321,11 +319,11 @@
 // Passes the failure response of a single upstream on unchanged, unless it would mislead the caller. Otherwise, if the
 // request has provably not run, the error invites the caller to retry.
 http::Response RequestHandler::makeFailureResponse(
-    const RoutedRequest& routed, ActiveRequest& active, const FinishFanout& result)
+    const RoutedRequest& routed, ActiveRequest& active, const FinishFanout& result, http::Exchange& exchange)
 {
     auto& failedReply = active.failedReply();
     if (!routed.route.isFanout() && failedReply && failedReply->isForwardable)
-        return state_.callers.encodeSingle(routed.request, *std::move(failedReply));
+        return forward(routed.request, *std::move(failedReply), exchange);
     const std::string reason = result.missing.empty() ? std::string() : result.missing.front().reason;
     if (result.runState == RunState::NotRun) {
         const base::Duration typical = routed.latency->subRequests.typical();
@@ -340,6 +338,17 @@
         { code, base::Step::Receive, {}, reason, result.runState }, base::Duration::zero());
 }
 
+// If another response needs the memory, the caller that has not read this one yet loses it.
+http::Response RequestHandler::forward(
+    const http::Request& request, upstreamclient::UpstreamReply&& reply, http::Exchange& exchange)
+{
+    if (reply.memory) {
+        reply.memory->setEvict(exchange.abort);
+        exchange.responseOwner = reply.memory;
+    }
+    return state_.callers.encodeSingle(request, std::move(reply));
+}
+
 http::Response RequestHandler::refuseCrashing(const RoutedRequest& routed)
 {
     return refuse(routed,
@@ -423,14 +432,14 @@
         .counter("flamingousher_delegations_total", "Requests delegated to other VMs by outcome.",
             { { "outcome", outcome } })
         .add();
-    const bool isComplete = result.isAnswered() && result.response->result() == http::Status::ok;
+    const bool isComplete = result.isAnswered() && result.reply->response.result() == http::Status::ok;
     const bool isSampled = ++delegatedCount_ % SuccessSampleInterval == 0;
     if ((isComplete && !isSampled) || !state_.log.hasTokens())
         return;
     state_.log.writeDecision("delegated",
         { { "request", routed.decoded.requestId }, { "route", routed.route.name }, { "outcome", outcome },
             { "delegate", result.delegate }, { "reason", result.detail },
-            { "status", result.isAnswered() ? result.response->result_int() : 0 },
+            { "status", result.isAnswered() ? result.reply->response.result_int() : 0 },
             { "elapsed_ms", eventlog::milliseconds(elapsed) }, { "goal_ms", routed.route.goal.count() } });
 }
 
--- a/src/entry/internal/requesthandler.h
+++ b/src/entry/internal/requesthandler.h
@@ -61,8 +61,11 @@
 
     std::vector<std::shared_ptr<ServiceState>> servicesOf(const routing::Route&);
     balancing::AdmissionDecision admit(const RoutedRequest&, const std::vector<std::shared_ptr<ServiceState>>&);
-    http::Response makeResponse(const RoutedRequest&, ActiveRequest&, const fanout::FinishFanout&);
-    http::Response makeFailureResponse(const RoutedRequest&, ActiveRequest&, const fanout::FinishFanout&);
+    http::Response makeResponse(const RoutedRequest&, ActiveRequest&, const fanout::FinishFanout&, http::Exchange&);
+    http::Response makeFailureResponse(
+        const RoutedRequest&, ActiveRequest&, const fanout::FinishFanout&, http::Exchange&);
+    // Passes a response on. Until it is written, its bytes count against the memory of the VM.
+    http::Response forward(const http::Request&, upstreamclient::UpstreamReply&&, http::Exchange&);
     // Refuses a request that is known to crash upstreams.
     http::Response refuseCrashing(const RoutedRequest&);
     http::Response refuse(const RoutedRequest&, const base::Error&, base::Duration retryAfter);
--- a/src/entry/tests/directorytests.cpp
+++ b/src/entry/tests/directorytests.cpp
@@ -41,7 +41,8 @@
     EntrySettings settings { .zone = "a", .assumedVmCount = 9 };
     upstreamclient::UpstreamProtocol protocol;
     eventlog::EventLog log { {}, { [this] { return now; }, [](const std::string&) {} } };
-    Directory directory { io, settings, protocol, log, [this] { return now; } };
+    balancing::MemoryBudget memory { 1'000'000 };
+    Directory directory { io, settings, protocol, memory, log, [this] { return now; } };
 };
 
 // Leaks the thread and the harness, because fibers of connections outlive the test.
--- a/src/entry/types.h
+++ b/src/entry/types.h
@@ -60,6 +60,8 @@
     base::Duration retryWindow { std::chrono::seconds(10) };
     std::size_t assumedVmCount { 12 }; // number of VMs assumed until the fleet is known
 
+    std::size_t memoryBytes { 160'000'000 }; // of the VM
+
     // A VM whose tasks run later than this refuses delegated requests: it has no time left for those of others.
     base::Duration maxDelegateSchedulingDelay { std::chrono::milliseconds(15) };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -180,7 +180,8 @@
     ++state.requestsInProgress;
     const Request request = parser.release();
     Exchange exchange { describe(stream.socket()), isFirst, runtime::roundTripTime(stream.socket()),
-        [&] { sendInterimResponse(stream.socket()); }, [&] { return hasPeerClosed(stream.socket()); }, {}, {} };
+        [&] { sendInterimResponse(stream.socket()); }, [&] { return hasPeerClosed(stream.socket()); },
+        [&] { stream.cancel(); }, {}, {}, {} };
     stream.expires_never();
     Response response;
     {
--- a/src/http/tests/servertests.cpp
+++ b/src/http/tests/servertests.cpp
@@ -2,6 +2,7 @@
 #include "http/errorguard.h"
 #include "http/server.h"
 #include "runtime/fiberthread.h"
+#include "runtime/sleep.h"
 #include "runtime/usefiber.h"
 
 #include <boost/asio/read.hpp>
@@ -84,6 +85,37 @@
     cr_expect_eq(counted, 1u);
 }
 
+// Load pattern: a caller does not read a large response, whose memory others need.
+Test(HttpServer, abortsResponseThatIsNotRead)
+{
+    constexpr std::size_t LargeBytes = 32 * 1024 * 1024; // more than the sockets hold
+    runtime::FiberThread thread("test");
+    const auto [isHeld, isFreed] = thread.call([&] {
+        std::function<void()> abort;
+        std::weak_ptr<void> owner;
+        Server server(thread.io(), {}, [&](const Request& request, Exchange& exchange) {
+            exchange.responseOwner = std::make_shared<int>(0);
+            owner = exchange.responseOwner;
+            abort = exchange.abort;
+            return makeResponse(request, Status::ok, "text/plain", std::string(LargeBytes, 'x'));
+        });
+        server.listen(AnyPort);
+        boost::asio::ip::tcp::socket caller(thread.io());
+        boost::system::error_code error;
+        caller.async_connect(server.localEndpoint(), useFiber[error]);
+        const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        boost::asio::async_write(caller, boost::asio::buffer(request), useFiber[error]);
+        runtime::sleepFor(thread.io(), std::chrono::milliseconds(200));
+        const bool isHeldBefore = !owner.expired();
+        if (isHeldBefore)
+            abort();
+        runtime::sleepFor(thread.io(), std::chrono::milliseconds(200));
+        return std::pair(isHeldBefore, owner.expired() && server.counters().open == 0);
+    });
+    cr_expect(isHeld);
+    cr_expect(isFreed);
+}
+
 Test(HttpServer, staysUpAfterMalformedInput)
 {
     runtime::FiberThread thread("test");
--- a/src/http/types.h
+++ b/src/http/types.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -34,10 +35,14 @@
     std::function<void()> sendInterim;
     // Set by the server; returns whether the peer has already closed the connection.
     std::function<bool()> isPeerGone;
+    // Set by the server; closes the connection, also while the response is being written.
+    std::function<void()> abort;
     // Set by the handler; called after the response has been written to the socket.
     std::function<void()> onWritten;
     // Set by the handler; called at most once when the peer closes the connection before the response.
     std::function<void()> onPeerGone;
+    // Set by the handler; kept until the response has been written.
+    std::shared_ptr<void> responseOwner;
 };
 
 // Produces the response to one request. Runs in a fiber of the server's thread.
--- a/src/settings/tests/vmsettingstests.cpp
+++ b/src/settings/tests/vmsettingstests.cpp
@@ -12,6 +12,7 @@
 zone = a
 region = r
 zones = a=r,b=r
+memory_mb = 260
 shutdown_ms = 6000
 [listen]
 callers = 10.1.0.39:8226
@@ -48,6 +49,16 @@
     cr_assert_eq(settings->seeds.size(), 2);
     cr_assert_float_eq(settings->retrySlack, 58, 1e-9);
     cr_assert_eq(settings->shutdownTime.count(), 6000);
+    cr_assert_float_eq(settings->memoryMb, 260, 1e-9);
+}
+
+Test(VmSettings, rejectsMemoryOutOfRange)
+{
+    for (const char* value : { "0", "-5", "31", "1e9", "nan", "160MB" }) {
+        const auto settings
+            = parseVmSettings("f", replaceFirst(CompleteFile, "memory_mb = 260", std::string("memory_mb = ") + value));
+        cr_expect_not(settings.has_value(), "%s", value);
+    }
 }
 
 Test(VmSettings, acceptsFractionsAndExponents)
--- a/src/settings/vmsettings.cpp
+++ b/src/settings/vmsettings.cpp
@@ -14,6 +14,8 @@
 namespace {
 
     constexpr double MaxProcessor = 1'024; // cores
+    constexpr double MinMemoryMb = 32;
+    constexpr double MaxMemoryMb = 16'000'000;
     constexpr double MaxShutdownMs = 600'000;
     constexpr double MaxRetryWindowMs = 600'000;
     constexpr double MaxRetrySlack = 1'000'000;
@@ -60,6 +62,7 @@
             settings.zone = section.text("zone");
             settings.region = section.text("region", "default");
             settings.processor = section.number("processor", 0, MaxProcessor, settings.processor);
+            settings.memoryMb = section.number("memory_mb", MinMemoryMb, MaxMemoryMb, settings.memoryMb);
             settings.shutdownTime = readDuration(section, "shutdown_ms", 1'000, MaxShutdownMs, settings.shutdownTime);
             settings.regions = readZones(section);
         });
--- a/src/upstreamclient/connectionpool.h
+++ b/src/upstreamclient/connectionpool.h
@@ -32,6 +32,9 @@
 
         // Called when the upstream's process has ended while it may have run attempts. attempts: number of these.
         std::function<void(std::size_t attempts)> onCrashed;
+
+        // Returns the charge for the bytes of one response. evict ends its attempt. May be empty.
+        std::function<balancing::MemoryBudget::Charge(std::function<void()> evict)> openCharge;
     };
 
     ConnectionPool(boost::asio::io_context&, const PoolSettings&, const UpstreamProtocol&, Hooks);
--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -101,11 +101,15 @@
         buffer_.commit(received);
         lastProgress_ = pool_->hooks_.now();
         attemptBytes_ += received;
-        if (!isWithinByteLimit() || !parseReceived())
+        if (isEvicted_ || !isWithinByteLimit() || !parseReceived())
             break;
+        // A body of announced length is allocated whole when its head has arrived.
+        if (attempt_)
+            charge(buffer_.size() + (parser_ ? parser_->get().body().capacity() : 0));
     }
     isClosing_ = true;
     onReadEnded(error);
+    memory_ = nullptr;
     error_code ignored;
     socket_.close(ignored);
     pool_->onClosed(self, responseCount_ == 0 && error == boost::asio::error::connection_reset);
@@ -131,8 +135,10 @@
         pool_->onAttemptLost(*attempt_);
     const std::string detail = !closeReason_.empty() ? closeReason_ : error ? error.message() : "invalid response";
     const bool isBroken = closeReason_.empty() && !error;
-    fail(isBroken ? ErrorCode::ProtocolViolation : ErrorCode::ConnectionLost, Step::Receive, detail,
-        mayHaveBeenSent_ ? RunState::Unknown : RunState::NotRun);
+    const ErrorCode code = isEvicted_ ? ErrorCode::Overloaded
+        : isBroken                    ? ErrorCode::ProtocolViolation
+                                      : ErrorCode::ConnectionLost;
+    fail(code, Step::Receive, detail, mayHaveBeenSent_ ? RunState::Unknown : RunState::NotRun);
 }
 
 void Connection::start(const Attempt& attempt, AttemptCallback callback)
@@ -141,6 +147,7 @@
     callback_ = std::move(callback);
     mayHaveBeenSent_ = false;
     attemptBytes_ = 0;
+    memory_ = nullptr;
     sentAt_ = pool_->hooks_.now();
     if (isOpen_)
         write();
@@ -182,6 +189,27 @@
     return !attempt_ || attemptBytes_ <= attempt_->maxResponseBytes + MaxOverheadBytes;
 }
 
+// Counts what is held of the attempt's response against the budget of the VM, which may evict it.
+void Connection::charge(std::size_t bytes)
+{
+    if (!pool_->hooks_.openCharge)
+        return;
+    if (!memory_) {
+        memory_ = std::make_shared<balancing::MemoryBudget::Charge>(pool_->hooks_.openCharge([weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->evict();
+        }));
+    }
+    memory_->resize(bytes);
+}
+
+void Connection::evict()
+{
+    isEvicted_ = true;
+    ++pool_->counters_.evicted;
+    close("the VM holds too many bytes of responses");
+}
+
 // Feeds received bytes to the parser. Returns false when the connection must not be reused.
 bool Connection::parseReceived()
 {
@@ -226,6 +254,9 @@
         ++pool_->counters_.unmatched;
         return isReusable;
     }
+    charge(reply.response.body().capacity());
+    if (isEvicted_)
+        return false;
     ++responseCount_;
     pool_->onAnswered();
     ++pool_->counters_.answered;
@@ -242,6 +273,11 @@
     // Set before the callback, which may look for a free connection.
     if (!isReusable)
         isClosing_ = true;
+    // From here on the receiver of the reply decides whether it is evicted.
+    if (memory_) {
+        memory_->setEvict({});
+        reply.memory = std::move(memory_);
+    }
     finishAttempt(std::move(reply));
     if (isReusable && !attempt_)
         pool_->hooks_.onCapacity();
--- a/src/upstreamclient/internal/connection.h
+++ b/src/upstreamclient/internal/connection.h
@@ -52,6 +52,8 @@
     void write();
     void finishWrite(std::string rest);
     bool isWithinByteLimit() const;
+    void charge(std::size_t bytes);
+    void evict();
     bool parseReceived();
     bool onResponse(http::Response&&);
     void finishAttempt(AttemptResult);
@@ -75,10 +77,12 @@
     std::optional<base::Duration> idleTimeout_;
     std::uint64_t responseCount_ { 0 };
     std::size_t attemptBytes_ { 0 }; // received during the attempt, including interim and unmatched responses
+    std::shared_ptr<balancing::MemoryBudget::Charge> memory_; // for what is held of them; null until the first
     bool isOpen_ { false };
     bool isClosing_ { false };
     bool mayHaveBeenSent_ { false }; // some bytes may have reached the upstream
     bool isWriting_ { false };
+    bool isEvicted_ { false }; // the VM held too many bytes of responses
 };
 
 } // namespace flamingousher::upstreamclient
--- a/src/upstreamclient/tests/connectionpooltests.cpp
+++ b/src/upstreamclient/tests/connectionpooltests.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t MaxResponseBytes = 256 * 1024;
+constexpr std::size_t MaxHeldBytes = 600 * 1024; // of all responses together
 
 // Test protocol: the header "Id" identifies the request, and "Not-Run" states that it did not run.
 UpstreamProtocol makeProtocol()
@@ -64,7 +65,8 @@
         , pool(std::make_shared<ConnectionPool>(io, PoolSettings { "u", server.endpoint(), connections, 1 }, protocol,
               ConnectionPool::Hooks { [] { return std::chrono::steady_clock::now(); }, [this] { ++capacityEvents; },
                   [this](AttemptId, DroppedOutcome outcome) { droppedOutcomes.push_back(outcome); },
-                  [this] { ++replacements; } }))
+                  [this] { ++replacements; }, {}, {},
+                  [this](std::function<void()> evict) { return memory.open("u", std::move(evict)); } }))
     {
     }
 
@@ -107,6 +109,7 @@
     boost::asio::io_context& io;
     UpstreamProtocol protocol { makeProtocol() };
     RawServer server;
+    balancing::MemoryBudget memory { MaxHeldBytes };
     int capacityEvents { 0 };
     int replacements { 0 };
     int crashes { 0 };
@@ -290,6 +293,44 @@
 }
 
 // One byte now and then keeps a connection busy; the deadline ends the attempt.
+// Fault: responses were bounded each, but not together.
+Test(ConnectionPool, boundsTheBytesOfAllResponses)
+{
+    constexpr std::size_t Connections = 6;
+    const auto script = [](RawConnection& connection) {
+        connection.readHead();
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: 250000\r\n\r\n" + std::string(200'000, 'x'));
+        connection.pause(std::chrono::milliseconds(2'000));
+    };
+    withServer(
+        script,
+        [](Harness& harness) {
+            std::vector<AttemptResult> results;
+            for (std::size_t attempt = 0; attempt < Connections; ++attempt)
+                harness.send("id", [&](AttemptResult result) { results.push_back(std::move(result)); });
+            const std::size_t surplus = Connections - MaxHeldBytes / 250'000;
+            cr_expect(harness.eventually([&] { return results.size() == surplus; }));
+            for (const AttemptResult& result : results)
+                cr_expect(!result && result.error().runState == RunState::Unknown);
+            cr_expect_eq(harness.pool->counters().evicted, surplus);
+            cr_expect_leq(harness.memory.used(), MaxHeldBytes);
+        },
+        Connections);
+}
+
+// A complete response counts until its receiver frees it.
+Test(ConnectionPool, countsCompleteResponseUntilItIsFreed)
+{
+    withServer(answerEachRequest, [](Harness& harness) {
+        {
+            const AttemptResult result = harness.sendAndWait("id-1");
+            cr_assert(result.has_value() && result->memory);
+            cr_expect_gt(harness.memory.used(), 0);
+        }
+        cr_expect_eq(harness.memory.used(), 0);
+    });
+}
+
 Test(ConnectionPool, endsAttemptsOfDrippingResponses)
 {
     withServer(
--- a/src/upstreamclient/types.h
+++ b/src/upstreamclient/types.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balancing/memorybudget.h"
 #include "balancing/types.h"
 #include "base/error.h"
 #include "http/client.h"
@@ -43,6 +44,7 @@
     http::Response response;
     // The caller may get this failure: the upstream itself sent it, and it promises nothing that is not proved.
     bool isForwardable { false };
+    std::shared_ptr<balancing::MemoryBudget::Charge> memory; // of the response; may be null
 };
 
 // Encodes requests to upstreams and decodes their responses.
@@ -108,6 +110,7 @@
     std::uint64_t silentDropped { 0 };
     std::uint64_t aborted { 0 };
     std::uint64_t crashed { 0 }; // times that the upstream ended while it may have run attempts
+    std::uint64_t evicted { 0 }; // attempts ended since the VM held too many bytes of responses
 };
 
 } // namespace flamingousher::upstreamclient
