Notice callers that reset their connection

Any error but "nothing to read yet" counts now, on the ports of callers and of delegating VMs.

Evidence: HttpServer/notifiesHandlerWhenPeerResets failed before (not notified within 0.3 s).

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -12,6 +12,8 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <cerrno>
+
 #include <sys/socket.h>
 
 namespace flamingousher::http {
@@ -39,11 +41,13 @@
         return error ? "unknown" : endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
     }
 
-    // Returns whether the peer has closed its sending side. False while pipelined data is still unread.
+    // Returns whether the peer has closed its sending side or reset the connection. False while pipelined data is still
+    // unread.
     bool hasPeerClosed(tcp::socket& socket)
     {
         char byte = 0;
-        return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+        const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
     }
 
     // Does not wait: the send buffer is empty before the response, and a lost interim response does no harm.
--- a/src/http/tests/servertests.cpp
+++ b/src/http/tests/servertests.cpp
@@ -194,6 +194,36 @@
     cr_expect(didNotify);
 }
 
+// Fault: a caller that resets its connection was not noticed, and its request went on.
+Test(HttpServer, notifiesHandlerWhenPeerResets)
+{
+    runtime::FiberThread thread("test");
+    const bool didNotify = thread.call([&] {
+        bool isStarted = false;
+        bool isGone = false;
+        Server server(thread.io(), {}, [&](const Request& request, Exchange& exchange) {
+            exchange.onPeerGone = [&] { isGone = true; };
+            isStarted = true;
+            for (int step = 0; step < 500 && !isGone; ++step)
+                runtime::sleepFor(thread.io(), std::chrono::milliseconds(1));
+            return makeResponse(request, Status::ok, "text/plain", {});
+        });
+        server.listen(AnyPort);
+        boost::asio::ip::tcp::socket socket(thread.io());
+        socket.async_connect(server.localEndpoint(), useFiber);
+        const std::string request = "GET / HTTP/1.1\r\n\r\n";
+        boost::asio::async_write(socket, boost::asio::buffer(request), useFiber);
+        while (!isStarted)
+            runtime::sleepFor(thread.io(), std::chrono::milliseconds(1));
+        socket.set_option(boost::asio::socket_base::linger(true, 0));
+        socket.close();
+        for (int step = 0; step < 300 && !isGone; ++step)
+            runtime::sleepFor(thread.io(), std::chrono::milliseconds(1));
+        return isGone;
+    });
+    cr_expect(didNotify);
+}
+
 Test(HttpServer, finishesRequestInProgressOnShutdown)
 {
     runtime::FiberThread thread("test");
