Refuse requests whose body has an unknown end

Such requests are answered 400 and the connection closes, on all ports of the server, those between VMs too.

Evidence: HttpServer/refusesTransferCodingsItDoesNotKnow failed before: "/smuggled" was served in each case.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -12,7 +12,9 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <cerrno>
+#include <iterator>
 
 #include <sys/socket.h>
 
@@ -50,6 +52,15 @@
         return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
     }
 
+    // The server decodes no transfer coding but "chunked", so it cannot tell where a body in another one ends.
+    bool hasUnknownTransferCoding(const Request& request)
+    {
+        const auto [first, last] = request.equal_range(beast::http::field::transfer_encoding);
+        return std::any_of(first, last, [&](const auto& header) {
+            return std::next(first) != last || !beast::iequals(header.value(), "chunked");
+        });
+    }
+
     // Does not wait: the send buffer is empty before the response, and a lost interim response does no harm.
     void sendInterimResponse(tcp::socket& socket)
     {
@@ -176,6 +187,8 @@
     stream.expires_after(RequestReadTimeout);
     beast::http::async_read(stream, buffer, parser, useFiber[error]);
     state.readingStreams.erase(&stream);
+    if (!error && hasUnknownTransferCoding(parser.get()))
+        error = beast::http::error::bad_transfer_encoding;
     if (error) {
         rejectMalformed(state, stream, error);
         return false;
--- a/src/http/tests/servertests.cpp
+++ b/src/http/tests/servertests.cpp
@@ -290,6 +290,32 @@
 
 } // namespace
 
+// Fault: a body whose end the server cannot tell was taken for the next request (RFC 9112, 6.1 and 6.3).
+Test(HttpServer, refusesTransferCodingsItDoesNotKnow)
+{
+    const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (const std::string& coding :
+        { "identity", "chunked, identity", "gzip", "gzip, chunked", "chunked, chunked", "xchunked", "" }) {
+        runtime::FiberThread thread("test");
+        const auto [text, served] = thread.call([&] {
+            std::size_t handled = 0;
+            Server server(thread.io(), {}, [&](const Request& request, Exchange& exchange) {
+                ++handled;
+                return echo(request, exchange);
+            });
+            server.listen(AnyPort);
+            boost::asio::ip::tcp::socket socket(thread.io());
+            connectAndSend(socket, server.localEndpoint(),
+                "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + smuggled);
+            socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+            return std::pair(readAll(socket), handled);
+        });
+        cr_expect_eq(countOf(text, "HTTP/1.1 400"), 1, "'%s': %s", coding.c_str(), text.c_str());
+        cr_expect_eq(countOf(text, "HTTP/1.1"), 1, "'%s': %s", coding.c_str(), text.c_str());
+        cr_expect_eq(served, 0, "'%s'", coding.c_str());
+    }
+}
+
 // Load pattern: a planned stop under load, with connections that the process has not accepted yet.
 Test(HttpServer, answersRequestsInListenQueueOnShutdown)
 {
