Answer HEAD without a body

The server leaves the body out and keeps the length.

Evidence: HttpServer/answersHeadWithoutBody failed before.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -56,9 +56,8 @@
     bool hasUnknownTransferCoding(const Request& request)
     {
         const auto [first, last] = request.equal_range(beast::http::field::transfer_encoding);
-        return std::any_of(first, last, [&](const auto& header) {
-            return std::next(first) != last || !beast::iequals(header.value(), "chunked");
-        });
+        return std::any_of(first, last,
+            [&](const auto& header) { return std::next(first) != last || !beast::iequals(header.value(), "chunked"); });
     }
 
     // Does not wait: the send buffer is empty before the response, and a lost interim response does no harm.
@@ -207,6 +206,9 @@
     }
     if (state.isStopping)
         response.keep_alive(false);
+    // The length stays that of the answer to GET.
+    if (request.method() == beast::http::verb::head)
+        response.body().clear();
     stream.expires_after(ResponseWriteTimeout);
     beast::http::async_write(stream, response, useFiber[error]);
     if (!error && exchange.onWritten)
--- a/src/http/tests/servertests.cpp
+++ b/src/http/tests/servertests.cpp
@@ -316,6 +316,22 @@
     }
 }
 
+// Fault: an answer to HEAD had a body, which its caller takes for the next answer (RFC 9110, 9.3.2).
+Test(HttpServer, answersHeadWithoutBody)
+{
+    runtime::FiberThread thread("test");
+    const std::string text = thread.call([&] {
+        Server server(thread.io(), {}, echo);
+        server.listen(AnyPort);
+        boost::asio::ip::tcp::socket socket(thread.io());
+        connectAndSend(socket, server.localEndpoint(), "HEAD /abc HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        return readAll(socket);
+    });
+    cr_expect_eq(countOf(text, "200 OK"), 1);
+    cr_expect_eq(countOf(text, "Content-Length: 4"), 1);
+    cr_expect(text.ends_with("\r\n\r\n"), "%s", text.c_str());
+}
+
 // Load pattern: a planned stop under load, with connections that the process has not accepted yet.
 Test(HttpServer, answersRequestsInListenQueueOnShutdown)
 {
