--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -5,7 +5,7 @@
 source "$(dirname "$0")/common.sh"
 install_packages
 cores=(tables upstreams admission identity quarantine query accounts settings fleet wire scenario routing discovery balancing
-    fanout eventlog http upstreamclient delegation entry)
+    fanout eventlog http delegation entry)
 cd "$root"
 cmake --preset asan >/dev/null
 cmake --build --preset asan --target $(printf "flamingousher_%s_tests " "${cores[@]}") \
