--- a/src/balancing/tests/memorybudgettests.cpp
+++ b/src/balancing/tests/memorybudgettests.cpp
@@ -112,7 +112,6 @@
 {
     std::mt19937 random(20261);
     Harness harness;
-    std::vector<std::size_t> sizes;
     for (int step = 0; step < 5'000; ++step) {
         const std::size_t number = random() % 40;
         if (number >= harness.charges.size())
--- a/tests/routechange/main.cpp
+++ b/tests/routechange/main.cpp
@@ -49,7 +49,7 @@
 
 const std::array<std::string, 3> Prefixes { "/one/", "/unsafe/", "/all/" };
 
-// Service times of the searchers, which many requests outlast a configuration with.
+// Service times of the searchers. Most requests are still in progress when the next version comes.
 constexpr std::array<std::uint32_t, 6> ServiceMs { 100, 300, 500, 700, 900, 200 };
 
 // As long as that of a phone.
