--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -52,7 +52,7 @@
         return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
     }
 
-    // The server decodes no transfer coding but "chunked", so it cannot tell where a body in another one ends.
+    // The server decodes no transfer coding but "chunked", and the end of a body in another one is unknown.
     bool hasUnknownTransferCoding(const Request& request)
     {
         const auto [first, last] = request.equal_range(beast::http::field::transfer_encoding);
--- a/src/http/tests/servertests.cpp
+++ b/src/http/tests/servertests.cpp
@@ -292,7 +292,7 @@
 
 } // namespace
 
-// Fault: a body whose end the server cannot tell was taken for the next request (RFC 9112, 6.1 and 6.3).
+// Fault: a body whose end is unknown was taken for the next request (RFC 9112, 6.1 and 6.3).
 Test(HttpServer, refusesTransferCodingsItDoesNotKnow)
 {
     const std::string smuggled = "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n";
