--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -338,7 +338,7 @@
         { code, base::Step::Receive, {}, reason, result.runState }, base::Duration::zero());
 }
 
-// If another response needs the memory, the caller that has not read this one yet loses it.
+// If the budget evicts a response that its caller has not read yet, the connection closes.
 http::Response RequestHandler::forward(
     const http::Request& request, upstreamclient::UpstreamReply&& reply, http::Exchange& exchange)
 {
