Follow evacuations of availability zones

Change: the store's watcher reports all orders in force, which relays pass on like any other key; discovery::Evacuations keeps them, also over a restoration of the store from an older copy; the controller withholds the upstreams of evacuated zones from the entry thread, which retires them: what runs there finishes, and they are added again once the order is taken back. Ruled out: a state beside 'draining' in the pools; retiring has the same effect and is one path.

--- a/src/control/directcontroller.cpp
+++ b/src/control/directcontroller.cpp
@@ -13,6 +13,10 @@
     : log_(log)
     , hooks_(std::move(hooks))
     , registry_([this](const discovery::UpstreamEntry& entry, const char* change) { logChange(entry, change); })
+    , evacuations_([this](const discovery::EvacuationOrder& order, bool isActive) {
+        log_.writeChange(isActive ? "evacuation_began" : "evacuation_ended",
+            { { "zone", order.zone }, { "store_revision", order.revision } });
+    })
 {
 }
 
@@ -57,6 +61,11 @@
     registry_.remove(id, hooks_.now());
 }
 
+void DirectController::onEvacuations(const std::vector<discovery::EvacuationOrder>& orders)
+{
+    evacuations_.replaceAll(orders, hooks_.now());
+}
+
 void DirectController::onStoreUnavailable(const base::Error& error)
 {
     registry_.onStoreUnavailable(hooks_.now());
@@ -73,6 +82,7 @@
 {
     mayBeRewritten_ = configuration_ != nullptr;
     registry_.onStoreRestored(hooks_.now());
+    evacuations_.onStoreRestored(hooks_.now());
 }
 
 void DirectController::onDecodeError(const base::Error& error)
@@ -81,20 +91,37 @@
     log_.writeDecision("entry_unreadable", { { "reason", toString(error) } });
 }
 
+std::vector<discovery::DiscoveredUpstream> DirectController::usableUpstreams() const
+{
+    std::vector<discovery::DiscoveredUpstream> upstreams = registry_.upstreams();
+    std::erase_if(upstreams, [this](const discovery::DiscoveredUpstream& upstream) {
+        return evacuations_.isEvacuated(upstream.entry.zone);
+    });
+    return upstreams;
+}
+
 void DirectController::publish()
 {
-    if (registry_.changeCount() == publishedChangeCount_)
+    const bool haveEvacuationsChanged
+        = std::exchange(publishedEvacuationChanges_, evacuations_.changeCount()) != evacuations_.changeCount();
+    if (registry_.changeCount() == publishedChangeCount_ && !haveEvacuationsChanged)
         return;
     publishedChangeCount_ = registry_.changeCount();
     const std::size_t changes = std::exchange(unpublishedChanges_, 0);
     if (changes > MaxLoggedChanges)
         log_.writeChange("upstreams", { { "changes", changes }, { "known", registry_.upstreams().size() } });
-    hooks_.applyUpstreams(registry_.upstreams());
+    std::vector<discovery::DiscoveredUpstream> usable = usableUpstreams();
+    if (haveEvacuationsChanged)
+        log_.writeChange("evacuation_in_force",
+            { { "zones", evacuations_.active().size() }, { "withheld", registry_.upstreams().size() - usable.size() },
+                { "usable", usable.size() } });
+    hooks_.applyUpstreams(std::move(usable));
 }
 
 void DirectController::tick()
 {
     registry_.tick(hooks_.now());
+    evacuations_.tick(hooks_.now());
     publish();
 }
 
--- a/src/control/directcontroller.h
+++ b/src/control/directcontroller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/error.h"
+#include "discovery/evacuations.h"
 #include "discovery/registry.h"
 #include "eventlog/eventlog.h"
 #include "routing/routetable.h"
@@ -29,6 +30,7 @@
     void onAllUpstreams(const std::vector<discovery::UpstreamEntry>&);
     void onUpstream(const discovery::UpstreamEntry&);
     void onUpstreamRemoved(const std::string& id);
+    void onEvacuations(const std::vector<discovery::EvacuationOrder>&); // all orders in force
     void onStoreUnavailable(const base::Error&);
     void onStoreAvailable();
 
@@ -36,7 +38,8 @@
     void onStoreRestored();
     void onDecodeError(const base::Error&);
 
-    // Applies the upstream changes received since the last call.
+    // Applies the changes of upstreams and evacuations received since the last call. Upstreams of an evacuated zone are
+    // left out.
     void publish();
 
     // Removes expired upstreams and publishes the change. Called periodically.
@@ -45,18 +48,22 @@
     // Returns true once a configuration has been received and upstreams have been published.
     bool isReadyToServe() const { return version_ > 0 && publishedChangeCount_ > 0; }
     std::uint64_t version() const { return version_; }
+    std::vector<discovery::Evacuations::ActiveEvacuation> evacuations() const { return evacuations_.active(); }
     std::uint64_t decodeErrors() const { return decodeErrors_; }
 
 private:
     void logChange(const discovery::UpstreamEntry&, const char* change);
+    std::vector<discovery::DiscoveredUpstream> usableUpstreams() const;
 
     eventlog::EventLog& log_;
     Hooks hooks_;
     discovery::Registry registry_;
+    discovery::Evacuations evacuations_;
     std::uint64_t version_ { 0 };
     std::shared_ptr<const routing::Configuration> configuration_; // in force
     bool mayBeRewritten_ { false }; // the version in force, since the store was restored
     std::uint64_t publishedChangeCount_ { 0 };
+    std::uint64_t publishedEvacuationChanges_ { 0 };
     std::uint64_t decodeErrors_ { 0 };
     std::size_t unpublishedChanges_ { 0 }; // since the last publication
 };
--- a/src/control/tests/directcontrollertests.cpp
+++ b/src/control/tests/directcontrollertests.cpp
@@ -24,9 +24,9 @@
             } } };
 };
 
-discovery::UpstreamEntry entry(const std::string& id)
+discovery::UpstreamEntry entry(const std::string& id, const std::string& zone = "a")
 {
-    return { .id = id, .service = "s", .endpoint = "10.0.0.1:80", .sequence = 1 };
+    return { .id = id, .service = "s", .endpoint = "10.0.0.1:80", .zone = zone, .sequence = 1 };
 }
 
 } // namespace
@@ -51,6 +51,22 @@
     cr_assert_eq(harness.upstreamCounts, (std::vector<std::size_t> { 2 }));
 }
 
+// Fault: upstreams of an evacuated zone still got requests.
+Test(DirectController, withholdsUpstreamsOfEvacuatedZones)
+{
+    Harness harness;
+    harness.controller.onEvacuations({ { "b", 5 } });
+    harness.controller.onAllUpstreams({ entry("1", "a"), entry("2", "b"), entry("3", "c") });
+    harness.controller.publish();
+    harness.controller.onEvacuations({ { "b", 5 }, { "c", 6 } });
+    harness.controller.publish();
+    harness.controller.onUpstream(entry("4", "c"));
+    harness.controller.publish();
+    harness.controller.onEvacuations({});
+    harness.controller.publish();
+    cr_assert_eq(harness.upstreamCounts, (std::vector<std::size_t> { 2, 1, 1, 4 }));
+}
+
 Test(DirectController, isReadyToServeOnceRoutesAndUpstreamsAreKnown)
 {
     Harness harness;
--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -142,6 +142,7 @@
         [this](const std::vector<discovery::UpstreamEntry>& entries) { controller_->onAllUpstreams(entries); },
         [this](const discovery::UpstreamEntry& entry) { controller_->onUpstream(entry); },
         [this](const std::string& id) { controller_->onUpstreamRemoved(id); },
+        [this](const std::vector<discovery::EvacuationOrder>& orders) { controller_->onEvacuations(orders); },
         [this](const Source& source) { onCaughtUp(source); },
         [this](const base::Error& error) { controller_->onStoreUnavailable(error); },
         [this](const Source&) { controller_->onStoreAvailable(); },
@@ -266,6 +267,8 @@
     gauge("store_era", "Era of this revision.", watcher_->position().era);
     gauge(
         "store_fresh", "1 while this VM reads directly from the store and is up to date.", watcher_->isFresh() ? 1 : 0);
+    gauge("evacuated_zones", "Availability zones whose upstreams get no requests, by order of the operator.",
+        controller_->evacuations().size());
     gauge("store_calls", "Requests sent directly to the store.", watcher_->storeCalls());
     gauge("source_calls", "Requests sent to the store and to VMs that relay its contents.", watcher_->counters().calls);
     gauge("source_failures", "Failed requests to the store and to VMs that relay its contents.",
@@ -279,6 +282,17 @@
     return snapshot;
 }
 
+boost::json::array VmDaemon::evacuationsJson()
+{
+    boost::json::array evacuations;
+    for (const auto& [order, since] : controller_->evacuations())
+        evacuations.push_back(boost::json::object { { "zone", order.zone }, { "store_revision", order.revision },
+            { "known_for_ms", eventlog::milliseconds(std::chrono::steady_clock::now() - since) },
+            { "source", lastSource_.endpoint }, { "source_is_store", lastSource_.isStore },
+            { "fresh", watcher_->isFresh() } });
+    return evacuations;
+}
+
 std::string VmDaemon::stateJson()
 {
     return boost::json::serialize(boost::json::object {
@@ -287,6 +301,7 @@
         { "ready", isReady() },
         { "stopping", isStopping_ },
         { "configuration", controller_->version() },
+        { "evacuations", evacuationsJson() },
         { "store_revision", watcher_->position().revision },
         { "store_era", watcher_->position().era },
         { "entry", boost::json::parse(entry_.describeState()) },
--- a/src/daemon/vmdaemon.h
+++ b/src/daemon/vmdaemon.h
@@ -13,6 +13,7 @@
 #include "settings/vmsettings.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/json/array.hpp>
 
 #include <memory>
 #include <string>
@@ -45,6 +46,7 @@
     void onCaughtUp(const fleet::Source&);
     std::string fleetJson();
     metrics::Snapshot collectMetrics();
+    boost::json::array evacuationsJson();
     std::string stateJson();
     void runTicks();
     void handleSignals();
--- /dev/null
+++ b/src/discovery/evacuations.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "base/types.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace flamingousher::discovery {
+
+// The operator's order to send nothing to the upstreams of an availability zone.
+struct EvacuationOrder {
+    std::string zone;
+    std::uint64_t revision { 0 }; // of the store at which the order was written
+
+    bool operator==(const EvacuationOrder&) const = default;
+};
+
+// Tracks the availability zones that the operator has taken out of service. Performs no I/O.
+// Failure pattern: the store comes back from an older copy. Orders written since are missing until the operator writes
+// them again, and ones taken back since are there again.
+class Evacuations {
+public:
+    // Called when an evacuation begins or ends.
+    using ChangeListener = std::function<void(const EvacuationOrder&, bool isActive)>;
+
+    explicit Evacuations(ChangeListener = {});
+
+    // Replaces all orders by a complete list of the store.
+    void replaceAll(const std::vector<EvacuationOrder>&, base::TimePoint now);
+
+    // Called when the store has come back from an older copy: orders may be missing until they are written again.
+    void onStoreRestored(base::TimePoint now);
+
+    // Ends evacuations that were missing after a restoration and have not been written again in time.
+    void tick(base::TimePoint now);
+
+    bool isEvacuated(const std::string& zone) const { return active_.contains(zone); }
+
+    struct ActiveEvacuation {
+        EvacuationOrder order;
+        base::TimePoint since;
+
+        bool operator==(const ActiveEvacuation&) const = default;
+    };
+
+    std::vector<ActiveEvacuation> active() const;
+
+    // Returns the number of changes so far, to detect whether anything has changed.
+    std::uint64_t changeCount() const { return changes_; }
+
+private:
+    struct Tracked {
+        ActiveEvacuation evacuation;
+        std::optional<base::TimePoint> expiresAt; // if the order is missing in the store
+    };
+
+    void begin(const EvacuationOrder&, base::TimePoint now);
+    void end(const std::string& zone, base::TimePoint now);
+    void drop(std::map<std::string, Tracked>::iterator);
+
+    ChangeListener onChange_;
+    std::map<std::string, Tracked> active_; // by zone
+    std::map<std::string, std::uint64_t> takenBack_; // revision of the last order for each zone that was taken back
+    base::TimePoint rewritingUntil_; // after a restoration
+    std::uint64_t changes_ { 0 };
+};
+
+} // namespace flamingousher::discovery
