Keep cold upstreams within the pace that their service states

Services that state no pace are used as before. Upstreams are cold by their entry and by what their responses say. A process that comes back inherits its notices. Routes with allowed regions use upstreams there only.

--- a/src/balancing/tests/upstreampacertests.cpp
+++ b/src/balancing/tests/upstreampacertests.cpp
@@ -47,7 +47,7 @@
             if (static_cast<double>(vms) > 2 * limit + 5)
                 continue; // bursts of one request of each VM exceed the limit
             UpstreamPacer pacer;
-            pacer.setShare(1.0 / static_cast<double>(vms));
+            pacer.setShare(1.0 / static_cast<double>(vms), Start);
             pacer.onResponse({ limit }, Start);
             int most = 0;
             for (int second = 0; second < 40; second += 4)
@@ -61,7 +61,7 @@
 Test(UpstreamPacer, usesItsShareOfTheLimit)
 {
     UpstreamPacer pacer;
-    pacer.setShare(0.1);
+    pacer.setShare(0.1, Start);
     pacer.onResponse({ 50 }, Start);
     cr_expect_eq(*pacer.rate(), 5);
     const int sent = sendAll(pacer, Start, std::chrono::seconds(10));
@@ -72,7 +72,7 @@
 Test(UpstreamPacer, tellsWhenTheNextRequestIsAllowed)
 {
     UpstreamPacer pacer;
-    pacer.setShare(0.5);
+    pacer.setShare(0.5, Start);
     pacer.onResponse({ 4 }, Start);
     pacer.onSent(Start);
     cr_expect(!pacer.allows(Start));
--- a/src/balancing/types.h
+++ b/src/balancing/types.h
@@ -18,6 +18,7 @@
     std::optional<double> requestsPerSecond; // that it takes from all VMs together
     bool isLeaving { false }; // it is about to stop
     std::chrono::duration<double> pause { 0 }; // for this long it wants no requests from this VM
+    std::optional<base::Duration> warmUpRemaining; // it stays cold for so long
 
     bool operator==(const UpstreamNotice&) const = default;
 };
--- a/src/balancing/upstreampacer.cpp
+++ b/src/balancing/upstreampacer.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-    // Requests may come in bursts of what this time allows, and of one at least.
-    constexpr base::Duration BurstTime = std::chrono::milliseconds(250);
-
     // Over all VMs together. Without any request the VMs would not learn that the limit has ended.
     constexpr double MinRequestsPerSecond = 0.5;
 
@@ -16,8 +13,31 @@
     constexpr std::chrono::duration<double> MaxPause = std::chrono::hours(1);
     constexpr std::chrono::duration<double> PauseAfterDamagedField = std::chrono::seconds(60);
 
+    constexpr double FullBurst = 1e9; // more than any bucket holds
+
 } // namespace
 
+void UpstreamPacer::setShare(double share, base::TimePoint now)
+{
+    share_ = share;
+    if (requestsPerSecond_)
+        limit_.setRate(*rate(), now);
+}
+
+// A VM that starts, or whose part grows, has sent nothing that the others know of, so it begins without tokens.
+void UpstreamPacer::setWarmUp(base::TimePoint warmUpUntil, const std::optional<WarmUpPace>& pace, base::TimePoint now)
+{
+    const bool wasWarmingUp = isWarmingUp(now);
+    warmUpUntil_ = warmUpUntil;
+    warmUpPace_ = pace;
+    if (!isWarmingUp(now))
+        return;
+    if (wasWarmingUp)
+        warmUp_.setRate(pace->requestsPerSecond, now);
+    else
+        warmUp_ = TokenBucket(pace->requestsPerSecond, 0, now);
+}
+
 void UpstreamPacer::onResponse(const UpstreamNotice& notice, base::TimePoint now)
 {
     const auto pause = notice.pause <= MaxPause ? notice.pause : PauseAfterDamagedField;
@@ -25,10 +45,13 @@
     if (requestsPerSecond_ == notice.requestsPerSecond)
         return;
     const bool wasLimited = requestsPerSecond_.has_value();
-    const double before = tokens(now);
     requestsPerSecond_ = notice.requestsPerSecond;
-    tokens_ = requestsPerSecond_ ? std::min(wasLimited ? before : maxTokens(), maxTokens()) : 0;
-    tokensAt_ = now;
+    if (!requestsPerSecond_)
+        return;
+    if (wasLimited)
+        limit_.setRate(*rate(), now);
+    else
+        limit_ = TokenBucket(*rate(), FullBurst, now);
 }
 
 std::optional<double> UpstreamPacer::rate() const
@@ -38,36 +61,33 @@
     return std::max(*requestsPerSecond_, MinRequestsPerSecond) * share_;
 }
 
-double UpstreamPacer::maxTokens() const
-{
-    return std::max(1.0, rate().value_or(0) * std::chrono::duration<double>(BurstTime).count());
-}
-
-double UpstreamPacer::tokens(base::TimePoint now) const
+std::optional<double> UpstreamPacer::allowedRate(base::TimePoint now) const
 {
-    const double elapsed = std::chrono::duration<double>(now - tokensAt_).count();
-    return std::min(maxTokens(), tokens_ + std::max(0.0, elapsed) * rate().value_or(0));
+    const std::optional<double> limit = rate();
+    if (!isWarmingUp(now))
+        return limit;
+    return std::min(warmUp_.rate(), limit.value_or(warmUp_.rate()));
 }
 
 bool UpstreamPacer::allows(base::TimePoint now) const
 {
-    return !requestsPerSecond_ || tokens(now) >= 1;
+    return (!requestsPerSecond_ || limit_.allows(now)) && (!isWarmingUp(now) || warmUp_.allows(now));
 }
 
 void UpstreamPacer::onSent(base::TimePoint now)
 {
-    if (!requestsPerSecond_)
-        return;
-    tokens_ = tokens(now) - 1;
-    tokensAt_ = now;
+    if (requestsPerSecond_)
+        limit_.consume(now);
+    if (isWarmingUp(now))
+        warmUp_.consume(now);
 }
 
 base::Duration UpstreamPacer::waitTime(base::TimePoint now) const
 {
-    if (allows(now))
-        return base::Duration::zero();
-    const std::chrono::duration<double> wait((1 - tokens(now)) / *rate());
-    return std::chrono::ceil<base::Duration>(wait);
+    base::Duration wait = requestsPerSecond_ ? limit_.waitTime(now) : base::Duration::zero();
+    if (isWarmingUp(now))
+        wait = std::max(wait, std::min(warmUp_.waitTime(now), warmUpUntil_ + warmUpPace_->handover - now));
+    return wait;
 }
 
 } // namespace flamingousher::balancing
--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -53,6 +53,8 @@
         entry.callers = settings.callers;
         entry.fanouts = settings.fanouts;
         entry.memoryBytes = static_cast<std::size_t>(settings.memoryMb * BytesPerMb);
+        entry.warmUpFactor = settings.warmUpFactor;
+        entry.warmUpSlack = settings.warmUpSlack;
         entry.retryRatio = settings.retryRatio;
         entry.retrySlack = settings.retrySlack;
         entry.retryWindow = settings.retryWindow;
--- a/src/discovery/registry.cpp
+++ b/src/discovery/registry.cpp
@@ -10,6 +10,9 @@
     // By the protocol of the store, running upstreams publish again within about 2 s after it becomes available.
     constexpr base::Duration RepublishWindow = std::chrono::milliseconds(2'500);
 
+    // Reports arrive with delays of up to this time, by which the end of a warm-up seems to shift.
+    constexpr base::Duration WarmUpTolerance = std::chrono::milliseconds(500);
+
     // How long removed upstreams are remembered. A report that arrives later can only come from a restarted process.
     constexpr base::Duration RemovedRetention = std::chrono::seconds(60);
 
@@ -54,10 +57,16 @@
     const bool remainsDraining = current.isDraining && !isRestart;
     current = entry;
     current.isDraining = entry.isDraining || remainsDraining;
-    if (isRestart)
+    const bool isColdAgain
+        = entry.warmUpRemaining > WarmUpTolerance && warmUpUntil > tracked.upstream.warmUpUntil + WarmUpTolerance;
+    if (isRestart || isColdAgain)
         tracked.upstream.warmUpUntil = warmUpUntil;
-    if (isChanged)
-        report(current, isRestart ? "started again" : current.isDraining ? "draining" : "changed");
+    if (isChanged || isColdAgain)
+        report(current,
+            isRestart                ? "started again"
+                : current.isDraining ? "draining"
+                : isColdAgain        ? "cold again"
+                                     : "changed");
 }
 
 bool Registry::isExpiryUncertain(base::TimePoint now) const
--- a/src/entry/internal/activerequest.cpp
+++ b/src/entry/internal/activerequest.cpp
@@ -38,8 +38,8 @@
 {
     return {
         [this](std::uint32_t shard, const std::vector<UpstreamId>& tried) {
-            return state_.directory.selector().choose(
-                services_[shard]->upstreams, tried, latency_->subRequests.typical(), state_.now());
+            return state_.directory.selector().choose(state_.directory.upstreamsFor(route_, *services_[shard]), tried,
+                latency_->subRequests.typical(), state_.now());
         },
         [this](std::uint32_t, UpstreamId) { return latency_->subRequests.hedgeDelay(); },
         [this](std::uint32_t shard, balancing::ExtraAttempt kind) {
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -1,7 +1,5 @@
 #include "entry/internal/directory.h"
 
-#include "fleet/connectionallotment.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -51,6 +49,12 @@
     // A store that lags may list an upstream long after it has said that it leaves.
     constexpr base::Duration LeftRetention = std::chrono::minutes(10);
 
+    // A stated warm-up time that shifts by less is the same one.
+    constexpr base::Duration WarmUpShift = std::chrono::milliseconds(500);
+
+    // Requests per second assumed where all upstreams are limited to none.
+    constexpr double MinQueueRate = 0.1;
+
     constexpr std::uint32_t DefaultMaxConnections = 24; // for services missing from the configuration
 
     // Connections per upstream that are not allocated, for VMs that join or are being replaced.
@@ -114,7 +118,10 @@
             PooledUpstream& pooled = upstreams_[found->second];
             if (discovered.entry.isDraining && !pooled.upstream.entry.isDraining)
                 retire(found->second);
+            const bool isColdAgain = discovered.warmUpUntil > pooled.upstream.warmUpUntil;
             pooled.upstream = discovered;
+            if (isColdAgain)
+                updateWarmUp(found->second);
             listed.emplace(discovered.entry.id, found->second);
             continue;
         }
@@ -137,19 +144,31 @@
     const auto pool = std::make_shared<ConnectionPool>(
         io_, poolSettings(discovered.entry, limits), protocol_, poolHooks(id, discovered.entry.service));
     upstreams_.push_back({ discovered, pool, {} });
-    upstreams_[id].pacer.setShare(requestShare(discovered.entry.service));
+    inheritNotices(id);
+    upstreams_[id].pacer.setShare(requestShare(discovered.entry.service), now_());
     openPoolIds_.push_back(id);
-    selector_.setUpstream(id, distance(discovered.entry, limits), discovered.warmUpUntil);
+    updateWarmUp(id);
     if (discovered.entry.isDraining || hasLeft(discovered.entry)) {
         retire(id);
         return id;
     }
     service(discovered.entry.service)->upstreams.push_back(id);
-    if (maxConnections_.contains(discovered.entry.service))
+    if (configured_.contains(discovered.entry.service))
         pool->keepWarm();
     return id;
 }
 
+// An entry lapses while the store is away, and an availability zone is evacuated and taken back: the process remains.
+void Directory::inheritNotices(UpstreamId id)
+{
+    const auto [position, isNew] = idsByProcess_.try_emplace({ entry(id).id, entry(id).startedAt }, id);
+    if (isNew)
+        return;
+    const PooledUpstream& previous = upstreams_[std::exchange(position->second, id)];
+    if (previous.upstream.entry.endpoint == entry(id).endpoint)
+        upstreams_[id].pacer = previous.pacer;
+}
+
 void Directory::retire(UpstreamId id)
 {
     PooledUpstream& pooled = upstreams_[id];
@@ -220,6 +239,8 @@
     if (notice.isLeaving && !upstreams_[id].isRetired)
         onLeaving(id);
     balancing::UpstreamPacer& pacer = upstreams_[id].pacer;
+    if (notice.warmUpRemaining && !upstreams_[id].isRetired)
+        onWarmUpNotice(id, now_() + *notice.warmUpRemaining);
     const bool wasLimited = pacer.rate().has_value();
     const bool wasPaused = pacer.isPaused(now_());
     pacer.onResponse(notice, now_());
@@ -233,6 +254,21 @@
                 { "limit_per_s", notice.requestsPerSecond.value_or(0) }, { "own_per_s", pacer.rate().value_or(0) } });
 }
 
+// Each response states the time again, which seems to shift by the delay of the response.
+void Directory::onWarmUpNotice(UpstreamId id, base::TimePoint warmUpUntil)
+{
+    base::TimePoint& known = upstreams_[id].upstream.warmUpUntil;
+    const bool wasWarm = known <= now_();
+    if (wasWarm ? warmUpUntil <= now_() : warmUpUntil <= known + WarmUpShift)
+        return;
+    known = warmUpUntil;
+    if (wasWarm)
+        log_.writeDecision("upstream_cold",
+            { { "upstream", entry(id).id }, { "service", entry(id).service },
+                { "warm_up_ms", eventlog::milliseconds(warmUpUntil - now_()) } });
+    updateWarmUp(id);
+}
+
 void Directory::onLeaving(UpstreamId id)
 {
     log_.writeDecision("upstream_leaving", { { "upstream", entry(id).id }, { "service", entry(id).service } });
@@ -260,27 +296,61 @@
     const base::Duration standby = limits.max == 0 ? StandbyPenalty : base::Duration::zero();
     if (entry.zone == settings_.zone)
         return { standby, 1 };
-    const auto region = settings_.regions.find(entry.zone);
-    const bool isSameRegion = region == settings_.regions.end() || region->second == settings_.region;
+    const std::string region = regionOf(entry.zone);
+    const bool isSameRegion = region.empty() || region == settings_.region;
     return { standby + (isSameRegion ? CrossZonePenalty : CrossRegionPenalty), CrossZoneFactor };
 }
 
+// Returns an empty string for a zone whose region the settings do not state.
+std::string Directory::regionOf(const std::string& zone) const
+{
+    const auto region = settings_.regions.find(zone);
+    return region == settings_.regions.end() ? std::string() : region->second;
+}
+
+fleet::ConnectionAllotment Directory::allotment(const discovery::UpstreamEntry& entry) const
+{
+    return { isLimitedToExecutors(entry.service) ? plan_.executors : vms_, self_, entry.id, entry.zone };
+}
+
+// A VM that does not know the others, or leaves the service to them, sends nothing to a cold upstream.
+std::optional<balancing::WarmUpPace> Directory::warmUpPace(const discovery::UpstreamEntry& entry) const
+{
+    const auto found = configured_.find(entry.service);
+    const balancing::WarmUpBound bound { found == configured_.end() ? 0 : found->second.warmUpRate,
+        settings_.warmUpFactor, settings_.warmUpSlack };
+    if (!bound.isStated())
+        return std::nullopt;
+    const bool leavesServiceToOthers = isLimitedToExecutors(entry.service) && plan_.isDelegatingFanouts;
+    if (vms_.empty() || leavesServiceToOthers)
+        return balancing::computeWarmUpPace(bound, settings_.assumedVmCount, settings_.assumedVmCount);
+    const fleet::ConnectionAllotment order = allotment(entry);
+    return balancing::computeWarmUpPace(bound, order.position(), order.vmCount());
+}
+
+void Directory::updateWarmUp(UpstreamId id)
+{
+    const PooledUpstream& pooled = upstreams_[id];
+    selector_.setUpstream(
+        id, distance(pooled.upstream.entry, computeLimits(pooled.upstream.entry)), pooled.upstream.warmUpUntil);
+    upstreams_[id].pacer.setWarmUp(pooled.upstream.warmUpUntil, warmUpPace(pooled.upstream.entry), now_());
+}
+
 Directory::ConnectionLimits Directory::computeLimits(const discovery::UpstreamEntry& entry) const
 {
-    const auto found = maxConnections_.find(entry.service);
-    const std::uint32_t maxConnections = found == maxConnections_.end() ? DefaultMaxConnections : found->second;
+    const auto found = configured_.find(entry.service);
+    const std::uint32_t maxConnections
+        = found == configured_.end() ? DefaultMaxConnections : found->second.maxConnections;
     std::uint32_t allocatable
         = maxConnections > ReservedConnections ? maxConnections - ReservedConnections : maxConnections;
     // No connections are opened in advance until it is known how many VMs share the upstream.
     if (vms_.empty())
         return { std::clamp<std::size_t>(allocatable / settings_.assumedVmCount, 1, MaxConnections), 0 };
-    const bool isLimitedToExecutors = isDelegationUsed() && isSharded(entry.service);
-    if (isLimitedToExecutors && plan_.isDelegatingFanouts)
+    if (isLimitedToExecutors(entry.service) && plan_.isDelegatingFanouts)
         return { DelegatingVmConnections, 0 };
-    if (isLimitedToExecutors)
+    if (isLimitedToExecutors(entry.service))
         allocatable = static_cast<std::uint32_t>(allocatable * ExecutorFraction);
-    const fleet::ConnectionAllotment allocation(
-        isLimitedToExecutors ? plan_.executors : vms_, self_, entry.id, entry.zone);
+    const fleet::ConnectionAllotment allocation = allotment(entry);
     const std::size_t maxWarm = entry.zone == settings_.zone ? WarmSameZoneConnections : WarmCrossZoneConnections;
     return { std::min(allocation.shareOf(allocatable), MaxConnections),
         std::min(allocation.shareOf(static_cast<std::size_t>(allocatable * WarmFraction)), maxWarm) };
@@ -335,17 +405,17 @@
 
 void Directory::applyConfiguration(const routing::RouteTable& routes)
 {
-    std::map<std::string, std::uint32_t> maxConnections;
+    std::map<std::string, routing::Service> configured;
     std::set<std::string> shardedServices;
     for (const routing::Route& route : routes.configuration().routes)
         shardedServices.insert(route.shards.begin(), route.shards.end());
     for (const routing::Service& service : routes.configuration().services)
-        maxConnections[service.name] = service.maxConnections;
+        configured[service.name] = service;
     // Most configuration changes concern routes only, and allocating connections takes time proportional to the number
     // of VMs for each upstream.
-    if (maxConnections == maxConnections_ && shardedServices == shardedServices_)
+    if (configured == configured_ && shardedServices == shardedServices_)
         return;
-    maxConnections_ = std::move(maxConnections);
+    configured_ = std::move(configured);
     shardedServices_ = std::move(shardedServices);
     updatePlan();
     refreshLimits();
@@ -380,9 +450,9 @@
         for (UpstreamId id : state->upstreams) {
             const ConnectionLimits limits = computeLimits(entry(id));
             upstreams_[id].pool->setSettings(poolSettings(entry(id), limits));
-            selector_.setUpstream(id, distance(entry(id), limits), upstreams_[id].upstream.warmUpUntil);
-            upstreams_[id].pacer.setShare(requestShare(name));
-            if (maxConnections_.contains(name))
+            upstreams_[id].pacer.setShare(requestShare(name), now_());
+            updateWarmUp(id);
+            if (configured_.contains(name))
                 upstreams_[id].pool->keepWarm();
         }
     }
@@ -420,14 +490,29 @@
     }
 }
 
-balancing::ShardLoad Directory::load(const ServiceState& state, base::TimePoint goal, base::Duration typical) const
+bool Directory::mayRun(const routing::Route& route, UpstreamId id) const
+{
+    return route.allowedRegions.empty()
+        || std::ranges::find(route.allowedRegions, regionOf(entry(id).zone)) != route.allowedRegions.end();
+}
+
+std::vector<UpstreamId> Directory::upstreamsFor(const routing::Route& route, const ServiceState& state) const
+{
+    std::vector<UpstreamId> upstreams = state.upstreams;
+    if (!route.allowedRegions.empty())
+        std::erase_if(upstreams, [&](UpstreamId id) { return !mayRun(route, id); });
+    return upstreams;
+}
+
+balancing::ShardLoad Directory::load(
+    const routing::Route& route, const ServiceState& state, base::TimePoint goal, base::Duration typical) const
 {
     balancing::ShardLoad load { false, false, state.queue.countAhead(goal, now_()), 0, typical, {}, {} };
     base::TimePoint usableAt = base::TimePoint::max();
     base::Duration minLatency = base::Duration::max();
     base::Duration minWait = base::Duration::max();
-    double rate = 0; // of the upstreams that named a limit
-    for (UpstreamId id : state.upstreams) {
+    double rate = 0; // of the upstreams that are limited
+    for (UpstreamId id : upstreamsFor(route, state)) {
         const ConnectionPool& pool = *upstreams_[id].pool;
         const balancing::UpstreamPacer& pacer = upstreams_[id].pacer;
         if (pacer.isPaused(now_()))
@@ -435,11 +520,11 @@
         if (!isReachable(id))
             continue;
         load.isUsable = true;
-        load.connections += pool.settings().maxConnections;
+        load.connections += pacer.isWarmingUp(now_()) ? 0 : pool.settings().maxConnections;
         minLatency = std::min(minLatency, selector_.expectedLatency(id, typical, now_()));
         load.hasCapacity = load.hasCapacity || hasCapacity(id);
         minWait = std::min(minWait, pacer.waitTime(now_()));
-        rate += pacer.rate().value_or(0);
+        rate += pacer.allowedRate(now_()).value_or(0);
     }
     if (!load.isUsable) {
         if (usableAt != base::TimePoint::max())
@@ -448,7 +533,8 @@
     }
     load.serviceTime = minLatency;
     if (minWait > base::Duration::zero()) {
-        const std::chrono::duration<double> queueTime(static_cast<double>(load.queuedAhead) / rate);
+        const std::chrono::duration<double> queueTime(
+            static_cast<double>(load.queuedAhead) / std::max(rate, MinQueueRate));
         load.limitWait = minWait + std::chrono::ceil<base::Duration>(queueTime);
     }
     return load;
@@ -479,23 +565,25 @@
 }
 
 // All VMs know the same upstreams, so a service without any is missing everywhere.
-bool Directory::reachesService(const std::string& name) const
+bool Directory::reachesService(const routing::Route& route, const std::string& name) const
 {
     const auto found = services_.find(name);
-    if (found == services_.end() || found->second->upstreams.empty())
+    if (found == services_.end())
         return true;
-    return std::ranges::any_of(found->second->upstreams,
-        [this](UpstreamId id) { return upstreams_[id].pool->reach() != upstreamclient::Reach::Unreached; });
+    const std::vector<UpstreamId> upstreams = upstreamsFor(route, *found->second);
+    return upstreams.empty() || std::ranges::any_of(upstreams, [this](UpstreamId id) {
+        return upstreams_[id].pool->reach() != upstreamclient::Reach::Unreached;
+    });
 }
 
 bool Directory::reaches(const routing::Route& route) const
 {
     if (!route.isFanout()) {
         return std::ranges::all_of(route.services,
-            [this](const routing::WeightedService& service) { return reachesService(service.service); });
+            [&](const routing::WeightedService& service) { return reachesService(route, service.service); });
     }
     const auto reached = static_cast<std::size_t>(
-        std::ranges::count_if(route.shards, [this](const std::string& shard) { return reachesService(shard); }));
+        std::ranges::count_if(route.shards, [&](const std::string& shard) { return reachesService(route, shard); }));
     return reached >= balancing::requiredShards(route.shards.size(), route.minCoverage);
 }
 
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -11,6 +11,7 @@
 #include "discovery/types.h"
 #include "entry/types.h"
 #include "eventlog/eventlog.h"
+#include "fleet/connectionallotment.h"
 #include "fleet/types.h"
 #include "routing/routetable.h"
 #include "upstreamclient/connectionpool.h"
@@ -83,7 +84,11 @@
     balancing::WaitQueue::Key enqueue(ServiceState&, base::TimePoint goal, CapacityCallback);
     static void removeWaiting(ServiceState&, balancing::WaitQueue::Key);
 
-    balancing::ShardLoad load(const ServiceState&, base::TimePoint goal, base::Duration typical) const;
+    // Returns the upstreams of the service that may run requests of the route.
+    std::vector<UpstreamId> upstreamsFor(const routing::Route&, const ServiceState&) const;
+
+    balancing::ShardLoad load(
+        const routing::Route&, const ServiceState&, base::TimePoint goal, base::Duration typical) const;
 
     // Cancels attempts that take too long, opens and closes connections, and starts waiting sub-requests. Called
     // periodically.
@@ -122,6 +127,8 @@
     ConnectionLimits connectionLimits(UpstreamId id) const { return computeLimits(entry(id)); }
 
 private:
+    using ProcessKey = std::pair<std::string, std::int64_t>; // identifier and start time of an upstream's process
+
     UpstreamId add(const discovery::DiscoveredUpstream&);
     void retire(UpstreamId);
     void dispatchWaiting(const std::string& service);
@@ -137,11 +144,19 @@
     upstreamclient::ConnectionPool::Hooks poolHooks(UpstreamId, const std::string& service);
     void refreshLimits();
     void updateLinks();
-    bool reachesService(const std::string& name) const;
+    bool reachesService(const routing::Route&, const std::string& name) const;
+    bool mayRun(const routing::Route&, UpstreamId) const;
+    std::string regionOf(const std::string& zone) const;
+    fleet::ConnectionAllotment allotment(const discovery::UpstreamEntry&) const;
+    std::optional<balancing::WarmUpPace> warmUpPace(const discovery::UpstreamEntry&) const;
+    void updateWarmUp(UpstreamId);
+    void inheritNotices(UpstreamId);
+    bool isLimitedToExecutors(const std::string& service) const { return isDelegationUsed() && isSharded(service); }
     bool hasCapacity(UpstreamId) const;
     bool isReachable(UpstreamId) const;
     void onNotice(UpstreamId, const balancing::UpstreamNotice&);
     void onLeaving(UpstreamId);
+    void onWarmUpNotice(UpstreamId, base::TimePoint warmUpUntil);
     balancing::MemoryBudget::Charge openCharge(UpstreamId, std::function<void()> evict);
     bool hasLeft(const discovery::UpstreamEntry& entry) const { return left_.contains({ entry.id, entry.startedAt }); }
     double requestShare(const std::string& service) const;
@@ -162,12 +177,14 @@
     std::vector<PooledUpstream> upstreams_; // by UpstreamId; identifiers are not reused
     std::vector<UpstreamId> openPoolIds_; // pools to sweep: all but retired ones without connections
 
-    // Upstream processes, by identifier and start time, that have said that they leave, with the time at which they
-    // did.
-    std::map<std::pair<std::string, std::int64_t>, base::TimePoint> left_;
+    // Upstream processes that have said that they leave, with the time at which they did.
+    std::map<ProcessKey, base::TimePoint> left_;
+
+    // The newest handle of each process. What it has said of itself holds when its entry comes back.
+    std::map<ProcessKey, UpstreamId> idsByProcess_;
     std::map<std::string, UpstreamId> published_; // by the identifier in the published entry
     std::map<std::string, std::shared_ptr<ServiceState>> services_;
-    std::map<std::string, std::uint32_t> maxConnections_; // per upstream, by service
+    std::map<std::string, routing::Service> configured_; // services of the configuration, by name
     balancing::ReplicaSelector selector_;
     balancing::LinkMonitor links_;
     balancing::WaitQueue::Key lastKey_ { 0 };
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -254,7 +254,7 @@
     std::vector<balancing::ShardLoad> loads;
     loads.reserve(services.size());
     for (const auto& service : services)
-        loads.push_back(state_.directory.load(*service, routed.goal, typical));
+        loads.push_back(state_.directory.load(routed.route, *service, routed.goal, typical));
     return balancing::admit(loads, routed.route.minCoverage, routed.goal - routed.receivedAt);
 }
 
--- a/src/entry/types.h
+++ b/src/entry/types.h
@@ -60,6 +60,10 @@
     base::Duration retryWindow { std::chrono::seconds(10) };
     std::size_t assumedVmCount { 12 }; // number of VMs assumed until the fleet is known
 
+    // Bound on the requests of all VMs to a cold upstream in a second, from the rate that its service states.
+    double warmUpFactor { 1 };
+    double warmUpSlack { 0 };
+
     std::size_t memoryBytes { 160'000'000 }; // of the VM
 
     // A VM whose tasks run later than this refuses delegated requests: it has no time left for those of others.
--- a/src/fleet/connectionallotment.h
+++ b/src/fleet/connectionallotment.h
@@ -19,6 +19,10 @@
     // Returns the number of connections allocated to the VM out of the given total.
     std::size_t shareOf(std::size_t connections) const;
 
+    // Returns the VM's place in the order, from 0.
+    std::size_t position() const { return precedingVms_; }
+    std::size_t vmCount() const { return vmCount_; }
+
 private:
     std::size_t precedingVms_; // VMs earlier in the order
     std::size_t vmCount_;
--- a/src/routing/types.h
+++ b/src/routing/types.h
@@ -31,6 +31,7 @@
     std::vector<std::string> shards; // one service name per shard
     std::uint32_t recordLimit { 0 }; // max records in a merged response; the greatest are kept
     double minCoverage { 1 }; // min fraction of shards that must answer
+    std::vector<std::string> allowedRegions; // whose upstreams may run the requests; empty: all
 
     bool operator==(const Route&) const = default;
 
@@ -40,6 +41,7 @@
 struct Service {
     std::string name;
     std::uint32_t maxConnections { 0 }; // per upstream, over all VMs
+    double warmUpRate { 0 }; // requests per second from all VMs that a cold upstream tolerates; 0: not stated
 
     bool operator==(const Service&) const = default;
 };
--- a/src/settings/vmsettings.cpp
+++ b/src/settings/vmsettings.cpp
@@ -19,6 +19,8 @@
     constexpr double MaxShutdownMs = 600'000;
     constexpr double MaxRetryWindowMs = 600'000;
     constexpr double MaxRetrySlack = 1'000'000;
+    constexpr double MaxWarmUpFactor = 1'000;
+    constexpr double MaxWarmUpSlack = 1'000'000;
 
     using tables::SectionReader;
 
@@ -90,6 +92,10 @@
             settings.retrySlack = section.number("slack", 0, MaxRetrySlack, settings.retrySlack);
             settings.retryWindow = readDuration(section, "window_ms", 100, MaxRetryWindowMs, settings.retryWindow);
         });
+        reader.section("warmup", [&](SectionReader& section) {
+            settings.warmUpFactor = section.number("factor", 0, MaxWarmUpFactor, settings.warmUpFactor);
+            settings.warmUpSlack = section.number("slack", 0, MaxWarmUpSlack, settings.warmUpSlack);
+        });
         return settings;
     }
 
--- a/src/settings/vmsettings.h
+++ b/src/settings/vmsettings.h
@@ -39,6 +39,8 @@
     double retryRatio { 0.2 }; // [retries] ratio: extra attempts allowed per request to a service
     double retrySlack { 0 }; // [retries] slack: extra attempts allowed per window regardless of requests
     std::chrono::milliseconds retryWindow { 10'000 }; // [retries] window_ms
+    double warmUpFactor { 1 }; // [warmup] factor: of the rate that a service states for its cold upstreams
+    double warmUpSlack { 0 }; // [warmup] slack: requests a second to a cold upstream beyond it, from all VMs
 
     bool operator==(const VmSettings&) const = default;
 };
