Learn how many concurrent requests each upstream takes well

Cause: each VM sent as many requests to an upstream as it had connections, so in a burst beside slow replicas up to 24 requests waited in the upstreams' queues, without order, and a tenth of all arrivals was turned away there. Change: balancing::ConcurrencyLimit starts at one and a half times this VM's part of the slots, grows while it keeps requests waiting that are answered well within their goal, and shrinks to the equal part, also below one, when responses take more than 0.4 of the goal or the upstream refuses. What does not fit waits in the VM, ordered by goal. Admission counts the work ahead of a request against what the limits of the shard's upstreams and their speeds do at a time, less what higher priorities ask for (balancing::OfferedWork). The test of admission states the new estimate: work instead of rounds of equal requests, with the same checks.

--- a/src/balancing/admission.cpp
+++ b/src/balancing/admission.cpp
@@ -14,15 +14,18 @@
     // Delay for a shard without a usable upstream: about the time until one is discovered or recovers.
     constexpr base::Duration RetryAfterUnusable = std::chrono::milliseconds(500);
 
+    // A shard whose upstreams are all much slower than usual still does some work.
+    constexpr double MinParallelism = 0.01;
+
     base::Duration expectedLatency(const ShardLoad& shard)
     {
         if (shard.hasCapacity)
             return shard.serviceTime;
         if (shard.limitWait > base::Duration::zero())
             return shard.limitWait + shard.serviceTime;
-        const auto rounds
-            = static_cast<base::Duration::rep>(shard.queuedAhead / std::max<std::size_t>(1, shard.connections) + 1);
-        return shard.serviceTime * (rounds + 1);
+        const std::chrono::duration<double> wait(std::chrono::duration<double>(shard.workAhead + shard.work).count()
+            / std::max(shard.parallelism, MinParallelism));
+        return std::chrono::ceil<base::Duration>(wait) + shard.serviceTime;
     }
 
     base::Duration maxServiceTime(std::span<const ShardLoad> shards)
--- a/src/balancing/admission.h
+++ b/src/balancing/admission.h
@@ -10,8 +10,9 @@
 struct ShardLoad {
     bool isUsable { true }; // at least one upstream accepts new work
     bool hasCapacity { true }; // at least one upstream can start a sub-request immediately
-    std::size_t queuedAhead { 0 }; // queued sub-requests that would start earlier
-    std::size_t connections { 1 }; // concurrent sub-requests from this VM, over all upstreams
+    base::Duration workAhead { 0 }; // of queued sub-requests that would start earlier, at upstreams of usual speed
+    base::Duration work { 0 }; // of this sub-request
+    double parallelism { 1 }; // work done at a time for this VM and priority, over all upstreams
     base::Duration serviceTime { 0 }; // current estimate for one sub-request
     base::Duration limitWait { 0 }; // time until the limits that all upstreams have named allow one more sub-request
     base::Duration usableIn { 0 }; // time until an upstream accepts new work, if none does now; 0 if unknown
--- /dev/null
+++ b/src/balancing/concurrencylimit.cpp
@@ -0,0 +1,84 @@
+#include "balancing/concurrencylimit.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingousher::balancing {
+
+namespace {
+
+    // A sub-request that takes a larger part of its goal leaves too little time for the wait before it, for a hedge and
+    // for the other shards.
+    constexpr double MaxGoalFraction = 0.4;
+
+    constexpr double DecreaseFactor = 0.7;
+
+    // Added for each response in time that a limit in use has brought, divided by the limit: one request more after
+    // about two rounds of responses.
+    constexpr double Increase = 0.5;
+
+} // namespace
+
+void ConcurrencyLimit::setBounds(const ConcurrencyBounds& bounds)
+{
+    bounds_ = bounds;
+    limit_ = std::clamp(std::exchange(isInitialized_, true) ? limit_ : bounds.initial, bounds.min, bounds.max);
+}
+
+bool ConcurrencyLimit::allows(std::size_t inFlight, base::TimePoint now) const
+{
+    if (inFlight == 0)
+        return now >= pausedUntil_;
+    return static_cast<double>(inFlight + 1) <= limit_;
+}
+
+base::Duration ConcurrencyLimit::waitTime(base::TimePoint now) const
+{
+    return std::max(base::Duration::zero(), pausedUntil_ - now);
+}
+
+// With a limit of a quarter, a request is in flight for a quarter of the time.
+void ConcurrencyLimit::pauseAfter(base::Duration latency, base::TimePoint now)
+{
+    if (limit_ < 1)
+        pausedUntil_ = now + std::chrono::duration_cast<base::Duration>(latency * (1 / limit_ - 1));
+}
+
+bool ConcurrencyLimit::isSlow(base::Duration latency, base::Duration latencyGoal)
+{
+    return latency > latencyGoal * MaxGoalFraction;
+}
+
+void ConcurrencyLimit::onAnswered(base::TimePoint sentAt, base::Duration latencyGoal, base::TimePoint now)
+{
+    const base::Duration latency = now - sentAt;
+    if (isSlow(latency, latencyGoal))
+        decrease(sentAt, now);
+    else if (std::exchange(isBinding_, false))
+        limit_ = std::min(bounds_.max, limit_ + Increase / std::max(1.0, limit_));
+    pauseAfter(latency, now);
+}
+
+void ConcurrencyLimit::onDropped(base::TimePoint sentAt, base::Duration latencyGoal, base::TimePoint now)
+{
+    if (isSlow(now - sentAt, latencyGoal))
+        decrease(sentAt, now);
+}
+
+void ConcurrencyLimit::onRefused(base::TimePoint sentAt, base::TimePoint now)
+{
+    decrease(sentAt, now);
+    pauseAfter(now - sentAt, now);
+}
+
+// Requests that were sent before the last decrease have met the same queue, and say nothing about the new limit.
+void ConcurrencyLimit::decrease(base::TimePoint sentAt, base::TimePoint now)
+{
+    if (sentAt < decreasedAt_)
+        return;
+    limit_ = std::max(bounds_.min, limit_ * DecreaseFactor);
+    decreasedAt_ = now;
+    isBinding_ = false;
+}
+
+} // namespace flamingousher::balancing
--- a/src/balancing/tests/admissiontests.cpp
+++ b/src/balancing/tests/admissiontests.cpp
@@ -16,15 +16,16 @@
 }
 
 const ShardLoad Free {
-    .isUsable = true, .hasCapacity = true, .queuedAhead = 0, .connections = 9, .serviceTime = milliseconds(15)
+    .isUsable = true, .hasCapacity = true, .work = milliseconds(15), .parallelism = 9, .serviceTime = milliseconds(15)
 };
 
-ShardLoad queued(std::size_t queuedAhead)
+ShardLoad queued(int queuedAhead)
 {
     return { .isUsable = true,
         .hasCapacity = false,
-        .queuedAhead = queuedAhead,
-        .connections = 3,
+        .workAhead = milliseconds(15) * queuedAhead,
+        .work = milliseconds(15),
+        .parallelism = 3,
         .serviceTime = milliseconds(15) };
 }
 
@@ -44,10 +45,12 @@
     cr_assert(admit(shards(10, queued(12)), 0.89, milliseconds(112)).isAdmitted());
     const AdmissionDecision decision = admit(shards(10, queued(30)), 0.89, milliseconds(112));
     cr_assert(!decision.isAdmitted());
-    // 12 rounds of 15 ms exceed the goal by 68 ms: 4 rounds of 20 ms, the minimum retry delay.
-    cr_assert(decision.retryAfter == milliseconds(80));
-    // Within 80 ms 5 rounds of 15 ms have started 3 sub-requests each.
-    const AdmissionDecision later = admit(shards(10, queued(30 - 5 * 3)), 0.89, milliseconds(112));
+    // 31 requests of 15 ms, 3 at a time, and the answer exceed the goal by 58 ms: 3 rounds of 20 ms, the minimum retry
+    // delay.
+    cr_assert(decision.expectedLatency == milliseconds(170));
+    cr_assert(decision.retryAfter == milliseconds(60));
+    // Within 60 ms 4 rounds of 15 ms have started 3 sub-requests each.
+    const AdmissionDecision later = admit(shards(10, queued(30 - 4 * 3)), 0.89, milliseconds(112));
     cr_assert(later.isAdmitted(), "a retry after the given delay is admitted");
 }
 
--- a/src/balancing/waitqueue.cpp
+++ b/src/balancing/waitqueue.cpp
@@ -4,10 +4,10 @@
 
 namespace flamingousher::balancing {
 
-void WaitQueue::add(Key key, base::TimePoint goal)
+void WaitQueue::add(Key key, base::TimePoint goal, base::Duration work)
 {
     if (goals_.emplace(key, goal).second)
-        order_.emplace(std::pair(goal, key), key);
+        order_.emplace(std::pair(goal, key), work);
 }
 
 void WaitQueue::remove(Key key)
@@ -24,18 +24,33 @@
     std::vector<Key> keys;
     const auto firstOnTime = order_.lower_bound({ now, 0 });
     for (auto entry = firstOnTime; entry != order_.end() && keys.size() < maxCount; ++entry)
-        keys.push_back(entry->second);
+        keys.push_back(entry->first.second);
     for (auto entry = order_.begin(); entry != firstOnTime && keys.size() < maxCount; ++entry)
-        keys.push_back(entry->second);
+        keys.push_back(entry->first.second);
     return keys;
 }
 
-std::size_t WaitQueue::countAhead(base::TimePoint goal, base::TimePoint now) const
+std::pair<WaitQueue::Order::const_iterator, WaitQueue::Order::const_iterator> WaitQueue::ahead(
+    base::TimePoint goal, base::TimePoint now) const
 {
     if (goal < now)
-        return order_.size();
-    return static_cast<std::size_t>(
-        std::distance(order_.lower_bound({ now, 0 }), order_.upper_bound({ goal, ~Key { 0 } })));
+        return { order_.begin(), order_.end() };
+    return { order_.lower_bound({ now, 0 }), order_.upper_bound({ goal, ~Key { 0 } }) };
+}
+
+std::size_t WaitQueue::countAhead(base::TimePoint goal, base::TimePoint now) const
+{
+    const auto [begin, end] = ahead(goal, now);
+    return static_cast<std::size_t>(std::distance(begin, end));
+}
+
+base::Duration WaitQueue::workAhead(base::TimePoint goal, base::TimePoint now) const
+{
+    base::Duration work { 0 };
+    const auto [begin, end] = ahead(goal, now);
+    for (auto entry = begin; entry != end; ++entry)
+        work += entry->second;
+    return work;
 }
 
 } // namespace flamingousher::balancing
--- a/src/balancing/waitqueue.h
+++ b/src/balancing/waitqueue.h
@@ -16,7 +16,8 @@
 public:
     using Key = std::uint64_t; // identifies a waiting sub-request
 
-    void add(Key, base::TimePoint goal);
+    // work: time that the sub-request takes at an upstream of usual speed.
+    void add(Key, base::TimePoint goal, base::Duration work = base::Duration::zero());
     void remove(Key);
 
     // Returns up to maxCount sub-requests in the order in which they should start, without removing them.
@@ -27,8 +28,15 @@
     // Returns the number of sub-requests that would start before one with this goal.
     std::size_t countAhead(base::TimePoint goal, base::TimePoint now) const;
 
+    // Returns the work of these sub-requests.
+    base::Duration workAhead(base::TimePoint goal, base::TimePoint now) const;
+
 private:
-    std::map<std::pair<base::TimePoint, Key>, Key> order_;
+    using Order = std::map<std::pair<base::TimePoint, Key>, base::Duration>; // with the work of each
+
+    std::pair<Order::const_iterator, Order::const_iterator> ahead(base::TimePoint goal, base::TimePoint now) const;
+
+    Order order_;
     std::map<Key, base::TimePoint> goals_;
 };
 
--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -216,6 +216,7 @@
                 { "room", pool.hasCapacity() }, { "paused", shared.directory.pacer(id).isPaused(shared.now()) },
                 { "limit_per_s", shared.directory.pacer(id).rate().value_or(0) },
                 { "warming_up", shared.directory.pacer(id).isWarmingUp(shared.now()) },
+                { "learned_limit", shared.directory.concurrency(id).value() },
                 { "in_flight", shared.directory.selector().inFlight(id) },
                 { "slowness", shared.directory.selector().slowness(id, shared.now()) },
                 { "failure_rate", shared.directory.selector().failureRate(id, shared.now()) } });
--- a/src/entry/internal/activerequest.cpp
+++ b/src/entry/internal/activerequest.cpp
@@ -117,7 +117,7 @@
         if (const auto* toSend = std::get_if<fanout::SendAttempt>(&action))
             send(*toSend);
         else if (const auto* toDrop = std::get_if<fanout::DropAttempt>(&action))
-            state_.directory.pool(toDrop->upstream).drop(toDrop->attempt);
+            drop(*toDrop);
         else if (const auto* toAwait = std::get_if<fanout::AwaitCapacity>(&action))
             awaitCapacity(toAwait->shard);
         else
@@ -132,6 +132,14 @@
         finished_.notify();
 }
 
+void ActiveRequest::drop(const fanout::DropAttempt& action)
+{
+    const auto found = inFlight_.find(action.attempt);
+    if (found != inFlight_.end())
+        state_.directory.concurrency(action.upstream).onDropped(found->second.at, route_.goal, state_.now());
+    state_.directory.pool(action.upstream).drop(action.attempt);
+}
+
 void ActiveRequest::removeAllWaiting()
 {
     for (std::uint32_t shard = 0; shard < queueKeys_.size(); ++shard) {
@@ -159,7 +167,7 @@
 
 void ActiveRequest::awaitCapacity(std::uint32_t shard)
 {
-    queueKeys_[shard] = state_.directory.enqueue(*services_[shard], spec_.answerBy, [weak = weak_from_this(), shard] {
+    const auto onCapacity = [weak = weak_from_this(), shard] {
         const auto self = weak.lock();
         if (!self || self->outcome_)
             return true;
@@ -170,7 +178,9 @@
             return true;
         }
         return false;
-    });
+    };
+    queueKeys_[shard] = state_.directory.enqueue(
+        route_, *services_[shard], spec_.answerBy, latency_->subRequests.typical(), onCapacity);
 }
 
 void ActiveRequest::onResult(AttemptId id, upstreamclient::AttemptResult result)
@@ -196,11 +206,13 @@
     case ReplyKind::Success:
         onResponse();
         state_.directory.selector().onAnswered(attempt.upstream, id, now);
+        state_.directory.concurrency(attempt.upstream).onAnswered(attempt.at, route_.goal, now);
         latency_->subRequests.observe(now - attempt.at);
         replies_[attempt.shard] = std::move(reply);
         apply(query_.onAnswered(id, now));
         return;
     case ReplyKind::NotRun:
+        state_.directory.concurrency(attempt.upstream).onRefused(attempt.at, now);
         failAttempt(id, attempt,
             { RunState::NotRun, true, "refused with status " + std::to_string(reply.response.result_int()) });
         return;
--- a/src/entry/internal/activerequest.h
+++ b/src/entry/internal/activerequest.h
@@ -67,6 +67,7 @@
     void apply(std::vector<fanout::Action>);
     void applyAt(base::TimePoint due, std::vector<fanout::Action>);
     void send(const fanout::SendAttempt&);
+    void drop(const fanout::DropAttempt&);
     void awaitCapacity(std::uint32_t shard);
     void onResult(AttemptId, upstreamclient::AttemptResult);
     void onReply(AttemptId, const InFlightAttempt&, upstreamclient::UpstreamReply);
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -52,6 +52,9 @@
     // A stated warm-up time that shifts by less is the same one.
     constexpr base::Duration WarmUpShift = std::chrono::milliseconds(500);
 
+    // An upstream is kept busy while its responses are on their way and the next requests come.
+    constexpr double InitialOvercommit = 1.5;
+
     // Requests per second assumed where all upstreams are limited to none.
     constexpr double MinQueueRate = 0.1;
 
@@ -218,7 +221,9 @@
 
 bool Directory::hasCapacity(UpstreamId id) const
 {
-    return upstreams_[id].pool->hasCapacity() && upstreams_[id].pacer.allows(now_());
+    const PooledUpstream& pooled = upstreams_[id];
+    return pooled.pool->hasCapacity() && pooled.pacer.allows(now_())
+        && pooled.concurrency.allows(selector_.inFlight(id), now_());
 }
 
 bool Directory::isReachable(UpstreamId id) const
@@ -328,11 +333,22 @@
     return balancing::computeWarmUpPace(bound, order.position(), order.vmCount());
 }
 
+// At its minimum each VM uses an equal part of the slots, so that all of them together fill the upstream.
+balancing::ConcurrencyBounds Directory::concurrencyBounds(
+    const discovery::UpstreamEntry& entry, const ConnectionLimits& limits) const
+{
+    const double max = std::max(1.0, static_cast<double>(limits.max));
+    const double equalPart
+        = entry.slots / static_cast<double>(vms_.empty() ? settings_.assumedVmCount : allotment(entry).vmCount());
+    return { std::min(equalPart, max), std::clamp(equalPart * InitialOvercommit, 1.0, max), max };
+}
+
 void Directory::updateWarmUp(UpstreamId id)
 {
     const PooledUpstream& pooled = upstreams_[id];
-    selector_.setUpstream(
-        id, distance(pooled.upstream.entry, computeLimits(pooled.upstream.entry)), pooled.upstream.warmUpUntil);
+    const ConnectionLimits limits = computeLimits(pooled.upstream.entry);
+    selector_.setUpstream(id, distance(pooled.upstream.entry, limits), pooled.upstream.warmUpUntil);
+    upstreams_[id].concurrency.setBounds(concurrencyBounds(pooled.upstream.entry, limits));
     upstreams_[id].pacer.setWarmUp(pooled.upstream.warmUpUntil, warmUpPace(pooled.upstream.entry), now_());
 }
 
@@ -458,10 +474,13 @@
     }
 }
 
-balancing::WaitQueue::Key Directory::enqueue(ServiceState& service, base::TimePoint goal, CapacityCallback callback)
+balancing::WaitQueue::Key Directory::enqueue(const routing::Route& route, ServiceState& service, base::TimePoint goal,
+    base::Duration work, CapacityCallback callback)
 {
+    for (UpstreamId id : upstreamsFor(route, service))
+        upstreams_[id].concurrency.onWaiting();
     const balancing::WaitQueue::Key key = ++lastKey_;
-    service.queue.add(key, goal);
+    service.queue.add(key, goal, work);
     service.callbacks.emplace(key, std::move(callback));
     return key;
 }
@@ -488,6 +507,38 @@
         if (callback())
             removeWaiting(*state, key);
     }
+    if (state->queue.size() > 0)
+        awaitPauseEnd(state);
+}
+
+// Returns the time until the limits that this VM keeps allow one more request to the upstream.
+base::Duration Directory::pauseTime(UpstreamId id) const
+{
+    const PooledUpstream& pooled = upstreams_[id];
+    return std::max(pooled.concurrency.waitTime(now_()), pooled.pacer.waitTime(now_()));
+}
+
+// No response or connection wakes what waits for a pause, and the next sweep may be far off.
+void Directory::awaitPauseEnd(const std::shared_ptr<ServiceState>& state)
+{
+    base::Duration shortest = base::Duration::max();
+    for (UpstreamId id : state->upstreams) {
+        if (const base::Duration pause = pauseTime(id); pause > base::Duration::zero())
+            shortest = std::min(shortest, pause);
+    }
+    if (shortest == base::Duration::max() || now_() + shortest >= state->pauseEndsAt)
+        return;
+    if (!state->pauseTimer)
+        state->pauseTimer = std::make_unique<boost::asio::steady_timer>(io_);
+    state->pauseEndsAt = now_() + shortest;
+    state->pauseTimer->expires_at(state->pauseEndsAt);
+    state->pauseTimer->async_wait([this, weak = std::weak_ptr(state)](const boost::system::error_code& error) {
+        const auto waiting = weak.lock();
+        if (error || !waiting)
+            return;
+        waiting->pauseEndsAt = base::TimePoint::max();
+        dispatchWaiting(waiting->name);
+    });
 }
 
 bool Directory::mayRun(const routing::Route& route, UpstreamId id) const
@@ -507,20 +558,25 @@
 balancing::ShardLoad Directory::load(
     const routing::Route& route, const ServiceState& state, base::TimePoint goal, base::Duration typical) const
 {
-    balancing::ShardLoad load { false, false, state.queue.countAhead(goal, now_()), 0, typical, {}, {} };
+    balancing::ShardLoad load { .isUsable = false,
+        .hasCapacity = false,
+        .workAhead = state.queue.workAhead(goal, now_()),
+        .work = typical,
+        .parallelism = 0,
+        .serviceTime = typical };
     base::TimePoint usableAt = base::TimePoint::max();
     base::Duration minLatency = base::Duration::max();
     base::Duration minWait = base::Duration::max();
     double rate = 0; // of the upstreams that are limited
     for (UpstreamId id : upstreamsFor(route, state)) {
-        const ConnectionPool& pool = *upstreams_[id].pool;
         const balancing::UpstreamPacer& pacer = upstreams_[id].pacer;
         if (pacer.isPaused(now_()))
             usableAt = std::min(usableAt, pacer.pausedUntil());
         if (!isReachable(id))
             continue;
         load.isUsable = true;
-        load.connections += pacer.isWarmingUp(now_()) ? 0 : pool.settings().maxConnections;
+        if (!pacer.isWarmingUp(now_()))
+            load.parallelism += upstreams_[id].concurrency.value() / std::max(1.0, selector_.slowness(id, now_()));
         minLatency = std::min(minLatency, selector_.expectedLatency(id, typical, now_()));
         load.hasCapacity = load.hasCapacity || hasCapacity(id);
         minWait = std::min(minWait, pacer.waitTime(now_()));
@@ -531,10 +587,11 @@
             load.usableIn = usableAt - now_();
         return load;
     }
+    load.parallelism *= balancing::availableFraction(state.offered.above(route.priority, now_()), load.parallelism);
     load.serviceTime = minLatency;
     if (minWait > base::Duration::zero()) {
         const std::chrono::duration<double> queueTime(
-            static_cast<double>(load.queuedAhead) / std::max(rate, MinQueueRate));
+            static_cast<double>(state.queue.countAhead(goal, now_())) / std::max(rate, MinQueueRate));
         load.limitWait = minWait + std::chrono::ceil<base::Duration>(queueTime);
     }
     return load;
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "balancing/admission.h"
+#include "balancing/concurrencylimit.h"
 #include "balancing/linkmonitor.h"
 #include "balancing/memorybudget.h"
+#include "balancing/offeredwork.h"
 #include "balancing/replicaselector.h"
 #include "balancing/retrybudget.h"
 #include "balancing/upstreampacer.h"
@@ -17,6 +19,7 @@
 #include "upstreamclient/connectionpool.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <map>
 #include <memory>
@@ -40,7 +43,10 @@
     std::vector<UpstreamId> upstreams; // that accept new requests
     balancing::RetryBudget budget;
     balancing::WaitQueue queue;
+    balancing::OfferedWork offered;
     std::unordered_map<balancing::WaitQueue::Key, CapacityCallback> callbacks;
+    std::unique_ptr<boost::asio::steady_timer> pauseTimer; // set while sub-requests wait for the end of a pause
+    base::TimePoint pauseEndsAt { base::TimePoint::max() };
 };
 
 // The services and upstreams that this VM knows, with connection pools and observed performance. Used on one thread.
@@ -78,10 +84,12 @@
 
     upstreamclient::ConnectionPool& pool(UpstreamId id) { return *upstreams_[id].pool; }
     const balancing::UpstreamPacer& pacer(UpstreamId id) const { return upstreams_[id].pacer; }
+    balancing::ConcurrencyLimit& concurrency(UpstreamId id) { return upstreams_[id].concurrency; }
     const discovery::UpstreamEntry& entry(UpstreamId id) const { return upstreams_[id].upstream.entry; }
 
     // Queues a sub-request until an upstream has capacity. Returns the key for removeWaiting().
-    balancing::WaitQueue::Key enqueue(ServiceState&, base::TimePoint goal, CapacityCallback);
+    balancing::WaitQueue::Key enqueue(
+        const routing::Route&, ServiceState&, base::TimePoint goal, base::Duration work, CapacityCallback);
     static void removeWaiting(ServiceState&, balancing::WaitQueue::Key);
 
     // Returns the upstreams of the service that may run requests of the route.
@@ -111,6 +119,7 @@
         discovery::DiscoveredUpstream upstream;
         std::shared_ptr<upstreamclient::ConnectionPool> pool;
         balancing::UpstreamPacer pacer;
+        balancing::ConcurrencyLimit concurrency;
         bool isRetired { false };
     };
 
@@ -132,9 +141,12 @@
     UpstreamId add(const discovery::DiscoveredUpstream&);
     void retire(UpstreamId);
     void dispatchWaiting(const std::string& service);
+    void awaitPauseEnd(const std::shared_ptr<ServiceState>&);
+    base::Duration pauseTime(UpstreamId) const;
     balancing::ReplicaSelector::Distance distance(const discovery::UpstreamEntry&, const ConnectionLimits&) const;
     upstreamclient::PoolSettings poolSettings(const discovery::UpstreamEntry&, const ConnectionLimits&) const;
     ConnectionLimits computeLimits(const discovery::UpstreamEntry&) const;
+    balancing::ConcurrencyBounds concurrencyBounds(const discovery::UpstreamEntry&, const ConnectionLimits&) const;
     balancing::RetryBudgetSettings budgetSettings(const std::string& service) const;
     balancing::RetryBudgetSettings restartSettings() const;
     bool isSharded(const std::string& service) const { return shardedServices_.contains(service); }
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -253,8 +253,10 @@
     const base::Duration typical = routed.latency->subRequests.typical();
     std::vector<balancing::ShardLoad> loads;
     loads.reserve(services.size());
-    for (const auto& service : services)
+    for (const auto& service : services) {
+        service->offered.onArrival(routed.route.priority, typical, routed.receivedAt);
         loads.push_back(state_.directory.load(routed.route, *service, routed.goal, typical));
+    }
     return balancing::admit(loads, routed.route.minCoverage, routed.goal - routed.receivedAt);
 }
 
