Correct the admission of queries by their outcomes

Cause: a query waits for the slowest of its shards, whose upstreams other VMs fill, so the expected times of shards are too low; at 35 VMs, whose queues are empty while those of the upstreams are full, nothing was refused at all. Change: balancing::LatencyCorrection raises the expected time while admitted queries come late; a shard whose upstreams have all been slow or full a short time ago counts as queued. Limits recover while nothing waits.

--- a/src/balancing/admission.cpp
+++ b/src/balancing/admission.cpp
@@ -54,7 +54,8 @@
         1, static_cast<std::size_t>(std::ceil(minCoverage * static_cast<double>(shards) - RoundingTolerance)));
 }
 
-AdmissionDecision admit(std::span<const ShardLoad> shards, double minCoverage, base::Duration timeToGoal)
+AdmissionDecision admit(
+    std::span<const ShardLoad> shards, double minCoverage, base::Duration timeToGoal, double correction)
 {
     std::vector<base::Duration> latencies;
     latencies.reserve(shards.size());
@@ -68,12 +69,13 @@
         return { AdmissionReason::TooFewUsable, wait, wait };
     }
     std::ranges::nth_element(latencies, latencies.begin() + static_cast<std::ptrdiff_t>(required - 1));
-    const base::Duration expected = latencies[required - 1];
+    const auto expected = std::chrono::duration_cast<base::Duration>(latencies[required - 1] * correction);
     if (expected <= timeToGoal)
         return { AdmissionReason::Admitted, expected, {} };
-    // Without a queue the upstreams themselves are slow: a retry would not be faster, so a late answer is better than
+    // Without a queue, here or at the upstreams, the upstreams themselves are slow: a retry would not be faster, so a late answer is better than
     // none.
-    const bool isQueued = std::ranges::any_of(shards, [](const ShardLoad& shard) { return !shard.hasCapacity; });
+    const bool isQueued = std::ranges::any_of(
+        shards, [](const ShardLoad& shard) { return !shard.hasCapacity || shard.isCongested; });
     if (!isQueued)
         return { AdmissionReason::Admitted, expected, {} };
     // The queue drains in steps of a service time: a retry within one step would find it unchanged.
--- a/src/balancing/admission.h
+++ b/src/balancing/admission.h
@@ -10,6 +10,7 @@
 struct ShardLoad {
     bool isUsable { true }; // at least one upstream accepts new work
     bool hasCapacity { true }; // at least one upstream can start a sub-request immediately
+    bool isCongested { false }; // all upstreams have been slow or full a short time ago
     base::Duration workAhead { 0 }; // of queued sub-requests that would start earlier, at upstreams of usual speed
     base::Duration work { 0 }; // of this sub-request
     double parallelism { 1 }; // work done at a time for this VM and priority, over all upstreams
@@ -42,7 +43,9 @@
 // Decides at arrival whether a request over the given shards can be answered in time. Load pattern: a burst beyond the
 // capacity of the upstreams, where each query would occupy one slot of every shard and its answer is useless below the
 // minimum coverage. Rejects work that cannot meet its goal before any of its sub-requests runs, with a retry delay.
-// timeToGoal: remaining time until the latency goal, after which an answer is of little use.
-AdmissionDecision admit(std::span<const ShardLoad>, double minCoverage, base::Duration timeToGoal);
+// timeToGoal: remaining time until the latency goal, after which an answer is of little use. correction: factor of the
+// expected time.
+AdmissionDecision admit(
+    std::span<const ShardLoad>, double minCoverage, base::Duration timeToGoal, double correction = 1);
 
 } // namespace flamingousher::balancing
--- a/src/balancing/concurrencylimit.cpp
+++ b/src/balancing/concurrencylimit.cpp
@@ -13,6 +13,13 @@
 
     constexpr double DecreaseFactor = 0.7;
 
+    // Added for each response in time while the limit is below its initial value and keeps nothing waiting: a VM that
+    // has little to send would not notice otherwise that the upstream is fast again.
+    constexpr double Recovery = 0.1;
+
+    // A VM of a large fleet sends to an upstream about once in this time.
+    constexpr base::Duration CongestionMemory = std::chrono::milliseconds(1'000);
+
     // Added for each response in time that a limit in use has brought, divided by the limit: one request more after
     // about two rounds of responses.
     constexpr double Increase = 0.5;
@@ -32,6 +39,11 @@
     return static_cast<double>(inFlight + 1) <= limit_;
 }
 
+bool ConcurrencyLimit::isCongested(base::TimePoint now) const
+{
+    return now < decreasedAt_ + CongestionMemory;
+}
+
 base::Duration ConcurrencyLimit::waitTime(base::TimePoint now) const
 {
     return std::max(base::Duration::zero(), pausedUntil_ - now);
@@ -56,6 +68,8 @@
         decrease(sentAt, now);
     else if (std::exchange(isBinding_, false))
         limit_ = std::min(bounds_.max, limit_ + Increase / std::max(1.0, limit_));
+    else if (limit_ < bounds_.initial)
+        limit_ = std::min(bounds_.initial, limit_ + Recovery);
     pauseAfter(latency, now);
 }
 
--- a/src/balancing/concurrencylimit.h
+++ b/src/balancing/concurrencylimit.h
@@ -44,6 +44,9 @@
     // Records a response by which the upstream turns a request away since it is full.
     void onRefused(base::TimePoint sentAt, base::TimePoint now);
 
+    // Returns whether responses have shown a short time ago that the limit was too high.
+    bool isCongested(base::TimePoint now) const;
+
     double value() const { return limit_; }
     const ConcurrencyBounds& bounds() const { return bounds_; }
 
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -560,6 +560,7 @@
 {
     balancing::ShardLoad load { .isUsable = false,
         .hasCapacity = false,
+        .isCongested = true,
         .workAhead = state.queue.workAhead(goal, now_()),
         .work = typical,
         .parallelism = 0,
@@ -579,9 +580,11 @@
             load.parallelism += upstreams_[id].concurrency.value() / std::max(1.0, selector_.slowness(id, now_()));
         minLatency = std::min(minLatency, selector_.expectedLatency(id, typical, now_()));
         load.hasCapacity = load.hasCapacity || hasCapacity(id);
+        load.isCongested = load.isCongested && upstreams_[id].concurrency.isCongested(now_());
         minWait = std::min(minWait, pacer.waitTime(now_()));
         rate += pacer.allowedRate(now_()).value_or(0);
     }
+    load.isCongested = load.isCongested && load.isUsable;
     if (!load.isUsable) {
         if (usableAt != base::TimePoint::max())
             load.usableIn = usableAt - now_();
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -257,7 +257,8 @@
         service->offered.onArrival(routed.route.priority, typical, routed.receivedAt);
         loads.push_back(state_.directory.load(routed.route, *service, routed.goal, typical));
     }
-    return balancing::admit(loads, routed.route.minCoverage, routed.goal - routed.receivedAt);
+    return balancing::admit(loads, routed.route.minCoverage, routed.goal - routed.receivedAt,
+        routed.latency->correction.factor(routed.receivedAt));
 }
 
 RequestHandler::RunResult RequestHandler::run(
@@ -300,6 +301,9 @@
     exchange.onWritten
         = [this, outcomeDueAt = active->outcomeDueAt()] { state_.writeTimes.observe(state_.now() - outcomeDueAt); };
     const bool isLate = state_.now() > routed.goal + state_.writeTimes.reserve();
+    if (result.finishReason != FinishReason::Abandoned)
+        routed.latency->correction.onFinished(
+            result.finishReason == FinishReason::Answered && active->outcomeDueAt() <= routed.goal, state_.now());
     recordOutcome(routed, outcomeOf(result, isLate), &result, active.get());
     const bool isUnreached = result.finishReason == FinishReason::Failed && result.runState == RunState::NotRun
         && !state_.directory.reaches(routed.route);
