Schedule the returns of refused callers, and keep priorities in order

Cause: callers that were refused came back after 20 to 60 ms, together, and were refused again; a less urgent kind with less work passed a more urgent one, since each learned its own correction. Change: balancing::ReturnSchedule spreads the returns over the time that callers wait, urgent ones first. balancing::ReturnDetector tells returning callers by the time that they have left, so that any VM knows them; they count a smaller correction, and one that repeats at once counts as new. The correction is learned for each set of shards, and a priority has at least that of the higher ones.

--- a/src/balancing/admission.cpp
+++ b/src/balancing/admission.cpp
@@ -54,6 +54,17 @@
         1, static_cast<std::size_t>(std::ceil(minCoverage * static_cast<double>(shards) - RoundingTolerance)));
 }
 
+base::Duration workInterval(std::span<const ShardLoad> shards)
+{
+    base::Duration longest { 0 };
+    for (const ShardLoad& shard : shards) {
+        if (shard.isUsable)
+            longest = std::max(longest,
+                std::chrono::duration_cast<base::Duration>(shard.work / std::max(shard.parallelism, MinParallelism)));
+    }
+    return longest;
+}
+
 AdmissionDecision admit(
     std::span<const ShardLoad> shards, double minCoverage, base::Duration timeToGoal, double correction)
 {
@@ -72,10 +83,10 @@
     const auto expected = std::chrono::duration_cast<base::Duration>(latencies[required - 1] * correction);
     if (expected <= timeToGoal)
         return { AdmissionReason::Admitted, expected, {} };
-    // Without a queue, here or at the upstreams, the upstreams themselves are slow: a retry would not be faster, so a late answer is better than
-    // none.
-    const bool isQueued = std::ranges::any_of(
-        shards, [](const ShardLoad& shard) { return !shard.hasCapacity || shard.isCongested; });
+    // Without a queue, here or at the upstreams, the upstreams themselves are slow: a retry would not be faster, so a
+    // late answer is better than none.
+    const bool isQueued
+        = std::ranges::any_of(shards, [](const ShardLoad& shard) { return !shard.hasCapacity || shard.isCongested; });
     if (!isQueued)
         return { AdmissionReason::Admitted, expected, {} };
     // The queue drains in steps of a service time: a retry within one step would find it unchanged.
--- a/src/balancing/admission.h
+++ b/src/balancing/admission.h
@@ -40,6 +40,9 @@
 // Returns how many of the shards must answer, at least one.
 std::size_t requiredShards(std::size_t shards, double minCoverage);
 
+// Returns the time between two queries over the shards that the one with the least room can do.
+base::Duration workInterval(std::span<const ShardLoad>);
+
 // Decides at arrival whether a request over the given shards can be answered in time. Load pattern: a burst beyond the
 // capacity of the upstreams, where each query would occupy one slot of every shard and its answer is useless below the
 // minimum coverage. Rejects work that cannot meet its goal before any of its sub-requests runs, with a retry delay.
--- a/src/balancing/latencycorrection.cpp
+++ b/src/balancing/latencycorrection.cpp
@@ -18,15 +18,24 @@
 
 } // namespace
 
-double LatencyCorrection::factor(base::TimePoint now) const
+double LatencyCorrection::decayed(const Excess& excess, base::TimePoint now)
 {
-    return 1 + excess_ * std::exp2(-std::max(0.0, std::chrono::duration<double>(now - updatedAt_) / HalfLife));
+    return excess.value * std::exp2(-std::max(0.0, std::chrono::duration<double>(now - excess.at) / HalfLife));
 }
 
-void LatencyCorrection::onFinished(bool isInTime, base::TimePoint now)
+double LatencyCorrection::factor(std::uint32_t priority, base::TimePoint now) const
 {
-    excess_ = std::clamp(factor(now) - 1 + (isInTime ? -DecreaseInTime : IncreaseWhenLate), 0.0, MaxExcess);
-    updatedAt_ = now;
+    double most = 0;
+    for (std::size_t higher = 0; higher <= std::min<std::size_t>(priority, PriorityCount - 1); ++higher)
+        most = std::max(most, decayed(excesses_[higher], now));
+    return 1 + most;
+}
+
+void LatencyCorrection::onFinished(std::uint32_t priority, bool isInTime, base::TimePoint now)
+{
+    Excess& excess = excesses_[std::min<std::size_t>(priority, PriorityCount - 1)];
+    excess
+        = { std::clamp(decayed(excess, now) + (isInTime ? -DecreaseInTime : IncreaseWhenLate), 0.0, MaxExcess), now };
 }
 
 } // namespace flamingousher::balancing
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -2,11 +2,13 @@
 
 #include "balancing/admission.h"
 #include "balancing/concurrencylimit.h"
+#include "balancing/latencycorrection.h"
 #include "balancing/linkmonitor.h"
 #include "balancing/memorybudget.h"
 #include "balancing/offeredwork.h"
 #include "balancing/replicaselector.h"
 #include "balancing/retrybudget.h"
+#include "balancing/returnschedule.h"
 #include "balancing/upstreampacer.h"
 #include "balancing/waitqueue.h"
 #include "delegation/delegationplan.h"
@@ -44,6 +46,8 @@
     balancing::RetryBudget budget;
     balancing::WaitQueue queue;
     balancing::OfferedWork offered;
+    balancing::LatencyCorrection correction; // of the time that admission expects of queries that begin with this shard
+    balancing::ReturnSchedule returns; // of these
     std::unordered_map<balancing::WaitQueue::Key, CapacityCallback> callbacks;
     std::unique_ptr<boost::asio::steady_timer> pauseTimer; // set while sub-requests wait for the end of a pause
     base::TimePoint pauseEndsAt { base::TimePoint::max() };
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -34,6 +34,15 @@
         return static_cast<base::Rank>(std::min<std::uint32_t>(route.priority, base::RankCount - 1));
     }
 
+    // By the platform's protocol, callers wait as told up to a third of the time that they have left.
+    constexpr int CallerPatienceDivisor = 3;
+
+    // Of what the expected time is corrected by.
+    constexpr double ReturnPreference = 0.7;
+
+    // A caller that comes back earlier is taken for one that does not wait.
+    constexpr base::Duration MinReturnDelay = std::chrono::milliseconds(80);
+
     std::string describe(const balancing::AdmissionDecision& decision)
     {
         if (decision.reason == balancing::AdmissionReason::TooFewUsable)
@@ -257,8 +266,18 @@
         service->offered.onArrival(routed.route.priority, typical, routed.receivedAt);
         loads.push_back(state_.directory.load(routed.route, *service, routed.goal, typical));
     }
-    return balancing::admit(loads, routed.route.minCoverage, routed.goal - routed.receivedAt,
-        routed.latency->correction.factor(routed.receivedAt));
+    ServiceState& first = *services.front();
+    const bool isReturn = routed.latency->returns.isReturn(routed.deadline - routed.receivedAt, routed.receivedAt);
+    const double excess = first.correction.factor(routed.route.priority, routed.receivedAt) - 1;
+    const double correction = 1 + excess * (isReturn ? ReturnPreference : 1);
+    balancing::AdmissionDecision decision
+        = balancing::admit(loads, routed.route.minCoverage, routed.goal - routed.receivedAt, correction);
+    if (decision.reason == balancing::AdmissionReason::TooLate) {
+        const base::Duration patience = (routed.deadline - routed.receivedAt) / CallerPatienceDivisor;
+        decision.retryAfter = first.returns.book(routed.route.priority, balancing::workInterval(loads), MinReturnDelay,
+            std::max(patience, decision.retryAfter), routed.receivedAt);
+    }
+    return decision;
 }
 
 RequestHandler::RunResult RequestHandler::run(
@@ -290,6 +309,7 @@
     const fanout::FanoutSpec spec { static_cast<std::uint32_t>(services.size()), routed.goal, routed.deadline,
         routed.route.minCoverage, routed.maxAttempts, routed.route.isIdempotent, routed.hedgeFrom,
         state_.writeTimes.spread(), isProbe };
+    const std::shared_ptr<ServiceState> first = services.front();
     const auto active = std::make_shared<ActiveRequest>(
         state_, std::move(routes), routed.route, routed.latency, routed.decoded, std::move(services), spec);
     exchange.onPeerGone = [weak = std::weak_ptr(active)] {
@@ -302,7 +322,7 @@
         = [this, outcomeDueAt = active->outcomeDueAt()] { state_.writeTimes.observe(state_.now() - outcomeDueAt); };
     const bool isLate = state_.now() > routed.goal + state_.writeTimes.reserve();
     if (result.finishReason != FinishReason::Abandoned)
-        routed.latency->correction.onFinished(
+        first->correction.onFinished(routed.route.priority,
             result.finishReason == FinishReason::Answered && active->outcomeDueAt() <= routed.goal, state_.now());
     recordOutcome(routed, outcomeOf(result, isLate), &result, active.get());
     const bool isUnreached = result.finishReason == FinishReason::Failed && result.runState == RunState::NotRun
--- a/src/entry/internal/routelatencies.h
+++ b/src/entry/internal/routelatencies.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "balancing/latencycorrection.h"
+#include "balancing/returnschedule.h"
 #include "fanout/subrequestlatency.h"
 #include "routing/types.h"
 
@@ -16,7 +16,7 @@
 
     fanout::SubRequestLatency subRequests;
     fanout::SubRequestLatency delegations; // of whole requests that other VMs run
-    balancing::LatencyCorrection correction; // of the time that admission expects
+    balancing::ReturnDetector returns; // of callers that were refused
 };
 
 // The observed latencies of the routes in force. Requests share the ownership of those of their route, since the
