Bound what callers' connections and requests hold of a VM

Cause: nothing bounded the bytes of requests while they are read: a body of up to the limit a connection, trailers without end in the read buffer, and every descriptor for connections that send nothing. The readiness and operators' ports take bodies of 4 KiB.

--- a/src/balancing/memorybudget.cpp
+++ b/src/balancing/memorybudget.cpp
@@ -1,6 +1,7 @@
 #include "balancing/memorybudget.h"
 
 #include <algorithm>
+#include <map>
 #include <unordered_map>
 #include <utility>
 
@@ -8,9 +9,10 @@
 
 struct MemoryBudget::Impl {
     struct Entry {
-        std::string upstream;
+        std::string owner;
         std::size_t bytes { 0 };
         std::function<void()> evict; // empty: not evictable
+        Order order { Order::LargestFirst };
         bool isEvicted { false };
     };
 
@@ -18,7 +20,7 @@
     {
         used += entry.bytes;
         if (entry.evict && entry.bytes > 0)
-            evictable[entry.upstream] += entry.bytes;
+            evictable[entry.owner] += entry.bytes;
     }
 
     // Undoes count(). The entry must not have changed since.
@@ -27,28 +29,32 @@
         used -= entry.bytes;
         if (!entry.evict || entry.bytes == 0)
             return;
-        const auto found = evictable.find(entry.upstream);
+        const auto found = evictable.find(entry.owner);
         found->second -= entry.bytes;
         if (found->second == 0)
             evictable.erase(found);
     }
 
-    // The upstream that holds most is the one whose responses are out of proportion. Those of the others stay.
-    void evictLargest()
+    // The owner that holds most is the one that is out of proportion. What is held for the others stays.
+    void evictOne()
     {
-        const auto upstream = std::ranges::max_element(
+        const auto owner = std::ranges::max_element(
             evictable, [](const auto& one, const auto& other) { return one.second < other.second; });
-        Entry* largest = nullptr;
-        for (auto& [id, entry] : entries) {
-            if (entry.evict && entry.upstream == upstream->first && (!largest || entry.bytes > largest->bytes))
-                largest = &entry;
+        Entry* victim = nullptr;
+        for (auto& [id, entry] : entries) { // oldest first
+            if (!entry.evict || entry.bytes == 0 || entry.owner != owner->first)
+                continue;
+            if (!victim || entry.bytes > victim->bytes)
+                victim = &entry;
+            if (entry.order == Order::OldestFirst)
+                break;
         }
-        discount(*largest);
-        largest->bytes = 0;
-        largest->isEvicted = true;
+        discount(*victim);
+        victim->bytes = 0;
+        victim->isEvicted = true;
         ++evictions;
         // The hook may destroy the charge, and with it the entry.
-        const auto evict = std::exchange(largest->evict, nullptr);
+        const auto evict = std::exchange(victim->evict, nullptr);
         evict();
     }
 
@@ -56,8 +62,8 @@
     std::size_t used { 0 };
     std::uint64_t evictions { 0 };
     std::uint64_t lastId { 0 };
-    std::unordered_map<std::uint64_t, Entry> entries;
-    std::unordered_map<std::string, std::size_t> evictable; // bytes by upstream, without zeros
+    std::map<std::uint64_t, Entry> entries; // by the order in which they were opened
+    std::unordered_map<std::string, std::size_t> evictable; // bytes by owner, without zeros
 };
 
 MemoryBudget::MemoryBudget(std::size_t limit)
@@ -66,10 +72,10 @@
     impl_->limit = limit;
 }
 
-MemoryBudget::Charge MemoryBudget::open(const std::string& upstream, std::function<void()> evict)
+MemoryBudget::Charge MemoryBudget::open(const std::string& owner, std::function<void()> evict, Order order)
 {
     const std::uint64_t id = ++impl_->lastId;
-    impl_->entries.emplace(id, Impl::Entry { upstream, 0, std::move(evict) });
+    impl_->entries.emplace(id, Impl::Entry { owner, 0, std::move(evict), order });
     return { impl_, id };
 }
 
@@ -135,7 +141,7 @@
     entry.bytes = bytes;
     impl->count(entry);
     while (impl->used > impl->limit && !impl->evictable.empty())
-        impl->evictLargest();
+        impl->evictOne();
 }
 
 void MemoryBudget::Charge::setEvict(std::function<void()> evict)
--- a/src/balancing/memorybudget.h
+++ b/src/balancing/memorybudget.h
@@ -8,15 +8,22 @@
 
 namespace flamingousher::balancing {
 
-// Bounds the bytes of responses that a VM holds at one time, from their arrival until they are sent on.
-// Load pattern: faulty upstreams send without end on many connections. Each response is within its own limit, but all
-// of them together exceed the memory of the VM, and its process ends with the requests of everyone.
-// Used on one thread.
+// Bounds the bytes that a VM holds for others at one time: responses from their arrival until they are sent on, and
+// connections of callers and other VMs with the requests that they bring.
+// Load pattern: faulty upstreams send without end on many connections, or crowds of callers stop just short of the end
+// of their requests. Each is within its own limit, but all of them together exceed the memory of the VM, and its
+// process ends with the requests of everyone. The owner that holds most gives way. Used on one thread.
 class MemoryBudget {
     struct Impl;
 
 public:
-    // What is held of one response. Counts until it is destroyed or evicted.
+    // Which charge of an owner gives way first.
+    enum class Order : std::uint8_t {
+        LargestFirst,
+        OldestFirst,
+    };
+
+    // What is held for one owner. Counts until it is destroyed or evicted.
     class Charge {
     public:
         Charge() = default; // counts nothing
@@ -45,7 +52,7 @@
     explicit MemoryBudget(std::size_t limit);
 
     // Returns a charge of nothing yet. evict: must make the owner release the bytes. Called at most once.
-    Charge open(const std::string& upstream, std::function<void()> evict);
+    Charge open(const std::string& owner, std::function<void()> evict, Order = Order::LargestFirst);
 
     std::size_t limit() const;
     std::size_t used() const; // without evicted charges
--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -10,10 +10,13 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <csignal>
 #include <random>
 
+#include <sys/resource.h>
+
 namespace flamingousher::daemon {
 
 namespace {
@@ -37,6 +40,10 @@
 
     constexpr double BytesPerMb = 1e6;
 
+    // Parts of the process's descriptors. Other VMs read the store's contents at the operators' port.
+    constexpr double ReadinessPart = 0.02;
+    constexpr double OperatorsPart = 0.1;
+
     fleet::NodeInfo makeNode(const settings::VmSettings& settings)
     {
         return { { http::toString(settings.gossip), 0 }, settings.zone, settings.region,
@@ -44,6 +51,28 @@
             static_cast<std::uint32_t>(std::lround(settings.processor * 1'000)) };
     }
 
+    // The kernel's limit holds also where the settings state a higher one.
+    std::size_t descriptorLimit(const settings::VmSettings& settings)
+    {
+        rlimit kernel {};
+        if (::getrlimit(RLIMIT_NOFILE, &kernel) != 0 || kernel.rlim_cur == RLIM_INFINITY)
+            return settings.maxDescriptors > 0 ? settings.maxDescriptors : entry::EntrySettings {}.descriptors;
+        const auto limit = static_cast<std::size_t>(kernel.rlim_cur);
+        return settings.maxDescriptors > 0 ? std::min<std::size_t>(limit, settings.maxDescriptors) : limit;
+    }
+
+    // These ports are for requests without a body. Theirs is a thread of its own, so the limits of each connection and
+    // their number bound what is held.
+    http::ServerLimits makeControlLimits(std::size_t descriptors, double part)
+    {
+        constexpr std::size_t MinConnections = 8;
+        http::ServerLimits limits;
+        limits.bodyBytes = 4 * 1024;
+        limits.connections
+            = std::max(MinConnections, static_cast<std::size_t>(part * static_cast<double>(descriptors)));
+        return limits;
+    }
+
     entry::EntrySettings makeEntrySettings(const settings::VmSettings& settings)
     {
         entry::EntrySettings entry;
@@ -53,6 +82,7 @@
         entry.callers = settings.callers;
         entry.fanouts = settings.fanouts;
         entry.memoryBytes = static_cast<std::size_t>(settings.memoryMb * BytesPerMb);
+        entry.descriptors = descriptorLimit(settings);
         entry.warmUpFactor = settings.warmUpFactor;
         entry.warmUpSlack = settings.warmUpSlack;
         entry.retryRatio = settings.retryRatio;
@@ -93,9 +123,10 @@
         watcher_ = std::make_unique<platform::StoreWatcher>(control_.io(), makeWatcherHooks());
         relay_ = std::make_unique<platform::StoreRelay>(
             control_.io(), watcher_->mirror(), [this] { return watcher_->isFresh(); });
-        readiness_ = std::make_unique<http::Server>(
-            control_.io(), http::ServerLimits {}, platform::makeReadinessHandler([this] { return isReady(); }));
-        operators_ = std::make_unique<http::Server>(control_.io(), http::ServerLimits {},
+        const std::size_t descriptors = descriptorLimit(settings_);
+        readiness_ = std::make_unique<http::Server>(control_.io(), makeControlLimits(descriptors, ReadinessPart),
+            platform::makeReadinessHandler([this] { return isReady(); }));
+        operators_ = std::make_unique<http::Server>(control_.io(), makeControlLimits(descriptors, OperatorsPart),
             http::guardErrors(makeOperatorsHandler(),
                 [this](const http::Request& request, const http::Exchange& exchange, const std::exception& exception) {
                     log_.writeDecision("unexpected_error",
--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -19,24 +19,27 @@
     constexpr std::size_t DelegationHeaderBytes = 1'024; // of the fields added to a delegated request
     constexpr std::chrono::hours DelegationIdleTimeout { 1 };
 
-    constexpr std::size_t MaxCallerConnections = 3'000; // leaves file descriptors for the upstreams on a small VM
+    // Parts of the process's descriptors. The rest is for upstreams, delegates, operators and files.
+    constexpr double CallersPart = 0.45;
+    constexpr double DelegationPart = 0.2;
 
-    http::ServerLimits makeServerLimits(const routing::CallerLimits& callerLimits)
+    http::ServerLimits makeServerLimits(const routing::CallerLimits& callerLimits, std::size_t descriptors)
     {
         http::ServerLimits limits;
         limits.headerBytes = callerLimits.headerBytes;
         limits.bodyBytes = callerLimits.bodyBytes;
         limits.idleTimeout = callerLimits.idleTimeout;
-        limits.connections = MaxCallerConnections;
+        limits.connections = static_cast<std::size_t>(CallersPart * static_cast<double>(descriptors));
         return limits;
     }
 
     // Connections of other VMs are kept open: the kernel's keepalive probes of the other side detect lost ones.
-    http::ServerLimits makeDelegationLimits(const routing::CallerLimits& callerLimits)
+    http::ServerLimits makeDelegationLimits(const routing::CallerLimits& callerLimits, std::size_t descriptors)
     {
-        http::ServerLimits limits = makeServerLimits(callerLimits);
+        http::ServerLimits limits = makeServerLimits(callerLimits, descriptors);
         limits.headerBytes += DelegationHeaderBytes;
         limits.idleTimeout = DelegationIdleTimeout;
+        limits.connections = static_cast<std::size_t>(DelegationPart * static_cast<double>(descriptors));
         return limits;
     }
 
@@ -48,20 +51,43 @@
         std::function<void(const quarantine::CrashRecord&)> reportCrash)
         : shared(io, settings, callers, upstreams, std::move(writeLog), std::move(reportCrash))
         , handler(shared)
-        , server(io, makeServerLimits({}), guard([this](const http::Request& request, http::Exchange& exchange) {
-            http::Response response = handler.handle(request, exchange);
-            // Makes the caller send its next request to another VM.
-            if (shared.shutdown)
-                response.keep_alive(false);
-            return response;
-        }))
-        , delegationServer(
-              io, makeDelegationLimits({}), guard([this](const http::Request& request, http::Exchange& exchange) {
+        , server(io, makeServerLimits({}, settings.descriptors),
+              guard([this](const http::Request& request, http::Exchange& exchange) {
+                  http::Response response = handler.handle(request, exchange);
+                  // Makes the caller send its next request to another VM.
+                  if (shared.shutdown)
+                      response.keep_alive(false);
+                  return response;
+              }),
+              chargeTo("callers"))
+        , delegationServer(io, makeDelegationLimits({}, settings.descriptors),
+              guard([this](const http::Request& request, http::Exchange& exchange) {
                   return handler.handleDelegated(request, exchange);
-              }))
+              }),
+              chargeTo("delegating VMs"))
     {
     }
 
+    // Counts the connections of a server and their requests against the memory of the VM.
+    http::OpenByteCharge chargeTo(const std::string& owner)
+    {
+        return [this, owner](std::function<void()> evict) {
+            const auto charge = std::make_shared<balancing::MemoryBudget::Charge>();
+            const auto evictLogged = [this, owner, evict = std::move(evict)] {
+                if (shared.log.hasTokens())
+                    shared.log.writeDecision("connection_evicted",
+                        { { "of", owner }, { "held_bytes", shared.memory.used() },
+                            { "limit_bytes", shared.memory.limit() } });
+                evict();
+            };
+            *charge = shared.memory.open(owner, evictLogged, balancing::MemoryBudget::Order::OldestFirst);
+            return http::ByteCharge { [charge](std::size_t bytes) { charge->resize(bytes); },
+                [charge, evictLogged](bool isEvictable) {
+                    charge->setEvict(isEvictable ? std::function<void()>(evictLogged) : nullptr);
+                } };
+        };
+    }
+
     http::Handler guard(http::Handler handler)
     {
         return http::guardErrors(std::move(handler),
@@ -138,8 +164,9 @@
 void EntryThread::applyRoutes(std::shared_ptr<const routing::RouteTable> routes)
 {
     thread_.call([&] {
-        state_->server.setLimits(makeServerLimits(routes->configuration().limits));
-        state_->delegationServer.setLimits(makeDelegationLimits(routes->configuration().limits));
+        const routing::CallerLimits& limits = routes->configuration().limits;
+        state_->server.setLimits(makeServerLimits(limits, settings_.descriptors));
+        state_->delegationServer.setLimits(makeDelegationLimits(limits, settings_.descriptors));
         state_->shared.applyRoutes(routes);
     });
 }
@@ -257,10 +284,14 @@
             shared.quarantine.suspectedCount());
         gauge("quarantined_requests", "Requests in quarantine because they crash upstreams.",
             shared.quarantine.quarantinedCount(shared.now()));
-        gauge("responses_evicted", "Attempts ended because this VM held too many bytes of responses.",
+        gauge("responses_evicted", "Attempts and connections ended because this VM held too many bytes.",
             shared.memory.evictions());
-        gauge("response_bytes", "Bytes held of responses of upstreams and other VMs.", shared.memory.used());
+        gauge("response_bytes",
+            "Bytes held of responses, and of connections of callers and other VMs with their requests.",
+            shared.memory.used());
         gauge("response_bytes_limit", "Limit of response_bytes.", shared.memory.limit());
+        gauge("connections_evicted", "Connections of callers and other VMs closed to make room for others.",
+            state_->server.counters().evictedConnections + state_->delegationServer.counters().evictedConnections);
         gauge("unmatched_answers", "Responses that match no pending request.", counters.unmatched);
         gauge("caller_connections", "Open connections from callers.", state_->server.counters().open);
         gauge("malformed_requests", "Requests of callers rejected as malformed or oversized.",
--- a/src/entry/types.h
+++ b/src/entry/types.h
@@ -65,6 +65,7 @@
     double warmUpSlack { 0 };
 
     std::size_t memoryBytes { 160'000'000 }; // of the VM
+    std::size_t descriptors { 4'096 }; // that the process may have open
 
     // A VM whose tasks run later than this refuses delegated requests: it has no time left for those of others.
     base::Duration maxDelegateSchedulingDelay { std::chrono::milliseconds(15) };
--- a/src/http/types.h
+++ b/src/http/types.h
@@ -23,9 +23,18 @@
     std::size_t headerBytes { 16 * 1024 };
     std::size_t bodyBytes { 1024 * 1024 };
     std::chrono::milliseconds idleTimeout { 60'000 };
-    std::size_t connections { 4096 };
+    std::size_t connections { 4096 }; // beyond these, the one that has waited longest for a request is closed
 };
 
+// What a connection holds of a budget of bytes that several parts of the process share. Ends with its destruction.
+struct ByteCharge {
+    std::function<void(std::size_t bytes)> resize; // may call evict hooks, also that of this charge
+    std::function<void(bool)> setEvictable; // while a request is handled, its connection is not evicted
+};
+
+// Opens the charge of one connection. evict: makes the connection give way; called at most once.
+using OpenByteCharge = std::function<ByteCharge(std::function<void()> evict)>;
+
 // Connection details and callbacks of one request, passed to its handler.
 struct Exchange {
     std::string peer; // "address:port"
@@ -55,6 +64,7 @@
     std::uint64_t requests { 0 };
     std::uint64_t malformedRequests { 0 };
     std::uint64_t oversizedRequests { 0 };
+    std::uint64_t evictedConnections { 0 }; // closed or refused to make room for others
     std::uint64_t open { 0 };
 };
 
--- a/src/settings/vmsettings.cpp
+++ b/src/settings/vmsettings.cpp
@@ -16,6 +16,7 @@
     constexpr double MaxProcessor = 1'024; // cores
     constexpr double MinMemoryMb = 32;
     constexpr double MaxMemoryMb = 16'000'000;
+    constexpr double MaxDescriptors = 100'000'000;
     constexpr double MaxShutdownMs = 600'000;
     constexpr double MaxRetryWindowMs = 600'000;
     constexpr double MaxRetrySlack = 1'000'000;
@@ -65,6 +66,8 @@
             settings.region = section.text("region", "default");
             settings.processor = section.number("processor", 0, MaxProcessor, settings.processor);
             settings.memoryMb = section.number("memory_mb", MinMemoryMb, MaxMemoryMb, settings.memoryMb);
+            settings.maxDescriptors
+                = static_cast<std::uint32_t>(section.number("max_fds", 0, MaxDescriptors, settings.maxDescriptors));
             settings.shutdownTime = readDuration(section, "shutdown_ms", 1'000, MaxShutdownMs, settings.shutdownTime);
             settings.regions = readZones(section);
         });
--- a/src/settings/vmsettings.h
+++ b/src/settings/vmsettings.h
@@ -26,6 +26,7 @@
     std::string region; // [node] region
     double processor { 0 }; // [node] processor: share of the VM's processor in cores; 0 when unknown
     double memoryMb { 160 }; // [node] memory_mb: limit of the process's memory
+    std::uint32_t maxDescriptors { 0 }; // [node] max_fds: limit of the process's open files; 0: as the kernel says
     std::chrono::milliseconds shutdownTime { 6'000 }; // [node] shutdown_ms: time from SIGTERM to SIGKILL
     std::map<std::string, std::string> regions; // [node] zones: "ZONE=REGION, ..."
     http::Endpoint callers; // [listen] callers
