--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -105,6 +105,11 @@
         return refuseUnrouted(request, *decoded,
             { ErrorCode::NoRoute, base::Step::Routing, {}, "no route matches this request", RunState::NotRun });
     }
+    // All upstreams would refuse it, one after the other.
+    if (decoded->requestId.empty()) {
+        return refuseUnrouted(request, *decoded,
+            { ErrorCode::BadRequest, base::Step::Decode, {}, "the request has no identifier", RunState::NotRun });
+    }
     base::Duration timeout = route->timeout;
     if (decoded->timeout)
         timeout = std::min<base::Duration>(timeout, *decoded->timeout);
@@ -321,9 +326,10 @@
     exchange.onWritten
         = [this, outcomeDueAt = active->outcomeDueAt()] { state_.writeTimes.observe(state_.now() - outcomeDueAt); };
     const bool isLate = state_.now() > routed.goal + state_.writeTimes.reserve();
-    if (result.finishReason != FinishReason::Abandoned)
-        first->correction.onFinished(routed.route.priority,
-            result.finishReason == FinishReason::Answered && active->outcomeDueAt() <= routed.goal, state_.now());
+    // What fails at once says nothing of the time that others take.
+    const bool isInTime = active->outcomeDueAt() <= routed.goal;
+    if (result.finishReason == FinishReason::Answered || (result.finishReason != FinishReason::Abandoned && !isInTime))
+        first->correction.onFinished(routed.route.priority, isInTime, state_.now());
     recordOutcome(routed, outcomeOf(result, isLate), &result, active.get());
     const bool isUnreached = result.finishReason == FinishReason::Failed && result.runState == RunState::NotRun
         && !state_.directory.reaches(routed.route);
--- a/src/http/internal/session.cpp
+++ b/src/http/internal/session.cpp
@@ -80,11 +80,10 @@
 
     Status refusalStatus(const error_code& cause)
     {
-        if (cause == beast::http::error::body_limit)
-            return Status::payload_too_large;
         // The buffer overflows if the fields behind a chunked body do not fit.
-        if (cause == beast::http::error::header_limit || cause == beast::http::error::buffer_overflow)
-            return Status::request_header_fields_too_large;
+        if (cause == beast::http::error::body_limit || cause == beast::http::error::header_limit
+            || cause == beast::http::error::buffer_overflow)
+            return Status::payload_too_large;
         return cause == beast::error::timeout ? Status::request_timeout : Status::bad_request;
     }
 
@@ -312,9 +311,9 @@
 void Session::refuseUnread(const error_code& cause)
 {
     const Status status = isEvicted_ ? Status::service_unavailable : refusalStatus(cause);
-    const bool isOversized = status == Status::payload_too_large || status == Status::request_header_fields_too_large;
     if (!isEvicted_)
-        ++(isOversized ? state_->counters.oversizedRequests : state_->counters.malformedRequests);
+        ++(status == Status::payload_too_large ? state_->counters.oversizedRequests
+                                               : state_->counters.malformedRequests);
     const std::string detail = isEvicted_ ? "the request gives way to others" : cause.message();
     Request request;
     request.version(11);
