Take neither refusals nor a single slow response for a full upstream

Change: refusals do not count; a limit falls only when a request sent after a slow response is slow too; one that is passed over in the choice of a replica grows; limits start at two at least; queries with lost attempts do not correct admission.

--- a/src/balancing/concurrencylimit.cpp
+++ b/src/balancing/concurrencylimit.cpp
@@ -11,7 +11,7 @@
     // for the other shards.
     constexpr double MaxGoalFraction = 0.4;
 
-    constexpr double DecreaseFactor = 0.7;
+    constexpr double DecreaseFactor = 0.6;
 
     // Added for each response in time while the limit is below its initial value and keeps nothing waiting: a VM that
     // has little to send would not notice otherwise that the upstream is fast again.
@@ -64,9 +64,13 @@
 void ConcurrencyLimit::onAnswered(base::TimePoint sentAt, base::Duration latencyGoal, base::TimePoint now)
 {
     const base::Duration latency = now - sentAt;
-    if (isSlow(latency, latencyGoal))
-        decrease(sentAt, now);
-    else if (std::exchange(isBinding_, false))
+    if (isSlow(latency, latencyGoal)) {
+        onSlow(sentAt, now);
+        pauseAfter(latency, now);
+        return;
+    }
+    slowSince_.reset();
+    if (std::exchange(isBinding_, false))
         limit_ = std::min(bounds_.max, limit_ + Increase / std::max(1.0, limit_));
     else if (limit_ < bounds_.initial)
         limit_ = std::min(bounds_.initial, limit_ + Recovery);
@@ -76,20 +80,20 @@
 void ConcurrencyLimit::onDropped(base::TimePoint sentAt, base::Duration latencyGoal, base::TimePoint now)
 {
     if (isSlow(now - sentAt, latencyGoal))
-        decrease(sentAt, now);
+        onSlow(sentAt, now);
 }
 
-void ConcurrencyLimit::onRefused(base::TimePoint sentAt, base::TimePoint now)
+// One slow response, or several to requests that were in flight together, may come from a pause of the upstream. A full
+// one is still slow for what is sent afterwards.
+void ConcurrencyLimit::onSlow(base::TimePoint sentAt, base::TimePoint now)
 {
-    decrease(sentAt, now);
-    pauseAfter(now - sentAt, now);
-}
-
-// Requests that were sent before the last decrease have met the same queue, and say nothing about the new limit.
-void ConcurrencyLimit::decrease(base::TimePoint sentAt, base::TimePoint now)
-{
-    if (sentAt < decreasedAt_)
+    if (!slowSince_) {
+        slowSince_ = now;
+        return;
+    }
+    if (sentAt < *slowSince_)
         return;
+    slowSince_ = now;
     limit_ = std::max(bounds_.min, limit_ * DecreaseFactor);
     decreasedAt_ = now;
     isBinding_ = false;
--- a/src/balancing/concurrencylimit.h
+++ b/src/balancing/concurrencylimit.h
@@ -3,6 +3,7 @@
 #include "base/types.h"
 
 #include <cstddef>
+#include <optional>
 
 namespace flamingousher::balancing {
 
@@ -35,15 +36,13 @@
     // Called when a request had to wait since the limit did not allow it.
     void onWaiting() { isBinding_ = true; }
 
-    // Records a response. latencyGoal: of its route, from the arrival of the caller's request to the answer.
+    // Records a response. latencyGoal: of its route, from the arrival of the caller's request to the answer. Refusals
+    // do not count: an upstream that is full is slow too, and one that refuses for other reasons is not full.
     void onAnswered(base::TimePoint sentAt, base::Duration latencyGoal, base::TimePoint now);
 
     // Records that a request is given up, since its response is no longer needed. Counts only if it took long by then.
     void onDropped(base::TimePoint sentAt, base::Duration latencyGoal, base::TimePoint now);
 
-    // Records a response by which the upstream turns a request away since it is full.
-    void onRefused(base::TimePoint sentAt, base::TimePoint now);
-
     // Returns whether responses have shown a short time ago that the limit was too high.
     bool isCongested(base::TimePoint now) const;
 
@@ -52,13 +51,14 @@
 
 private:
     static bool isSlow(base::Duration latency, base::Duration latencyGoal);
-    void decrease(base::TimePoint sentAt, base::TimePoint now);
+    void onSlow(base::TimePoint sentAt, base::TimePoint now);
     void pauseAfter(base::Duration latency, base::TimePoint now);
 
     ConcurrencyBounds bounds_;
     double limit_ { 1 };
     bool isInitialized_ { false };
     bool isBinding_ { false }; // has kept a request waiting since it last changed
+    std::optional<base::TimePoint> slowSince_; // last slow response, without one in time since
     base::TimePoint decreasedAt_;
     base::TimePoint pausedUntil_; // while the limit is below one
 };
--- a/src/balancing/replicaselector.cpp
+++ b/src/balancing/replicaselector.cpp
@@ -123,20 +123,28 @@
     }
     Choice choice;
     base::Duration lowestCost = base::Duration::max();
+    std::optional<UpstreamId> busy;
+    base::Duration lowestBusyCost = base::Duration::max();
     for (UpstreamId upstream : candidates) {
         if (std::ranges::find(tried, upstream) != tried.end() || !hooks_.isReachable(upstream))
             continue;
+        const base::Duration cost = expectedLatency(upstream, typical, now);
         if (!hooks_.hasCapacity(upstream)) {
             if (choice.outcome == Outcome::NoneUsable)
                 choice.outcome = Outcome::NoCapacity;
+            if (cost < lowestBusyCost) {
+                lowestBusyCost = cost;
+                busy = upstream;
+            }
             continue;
         }
-        const base::Duration cost = expectedLatency(upstream, typical, now);
         if (cost < lowestCost) {
             lowestCost = cost;
             choice = { Outcome::Chosen, upstream };
         }
     }
+    if (busy && lowestBusyCost < lowestCost && hooks_.onSkipped)
+        hooks_.onSkipped(*busy);
     return choice;
 }
 
--- a/src/balancing/replicaselector.h
+++ b/src/balancing/replicaselector.h
@@ -22,6 +22,9 @@
 
         // Returns whether connections to the upstream are established, or may be attempted.
         std::function<bool(UpstreamId)> isReachable;
+
+        // Called for an upstream that would have been chosen if it had capacity. May be empty.
+        std::function<void(UpstreamId)> onSkipped;
     };
 
     // Preference against an upstream that is not near.
--- a/src/entry/internal/activerequest.cpp
+++ b/src/entry/internal/activerequest.cpp
@@ -180,7 +180,7 @@
         return false;
     };
     queueKeys_[shard] = state_.directory.enqueue(
-        route_, *services_[shard], spec_.answerBy, latency_->subRequests.typical(), onCapacity);
+        *services_[shard], spec_.answerBy, latency_->subRequests.typical(), onCapacity);
 }
 
 void ActiveRequest::onResult(AttemptId id, upstreamclient::AttemptResult result)
@@ -212,7 +212,6 @@
         apply(query_.onAnswered(id, now));
         return;
     case ReplyKind::NotRun:
-        state_.directory.concurrency(attempt.upstream).onRefused(attempt.at, now);
         failAttempt(id, attempt,
             { RunState::NotRun, true, "refused with status " + std::to_string(reply.response.result_int()) });
         return;
@@ -270,6 +269,7 @@
 void ActiveRequest::failAttempt(AttemptId id, const InFlightAttempt& attempt, const fanout::AttemptFailure& failure)
 {
     state_.directory.selector().onFailed(attempt.upstream, id, state_.now());
+    hasFault_ = hasFault_ || failure.runState != RunState::NotRun;
     recordEvent(EventKind::Failed, attempt.shard, attempt.upstream, failure.reason);
     apply(query_.onFailed(id, failure, state_.now()));
 }
--- a/src/entry/internal/activerequest.h
+++ b/src/entry/internal/activerequest.h
@@ -47,6 +47,9 @@
     std::optional<upstreamclient::UpstreamReply>& failedReply() { return failedReply_; }
     const std::vector<RequestEvent>& events() const { return events_; }
 
+    // Returns whether an attempt has failed that may have run.
+    bool hasFault() const { return hasFault_; }
+
     // Returns when the outcome was due. If a timer caused it, this is the time it was set for, however late it fired.
     base::TimePoint outcomeDueAt() const { return outcomeDueAt_; }
 
@@ -100,6 +103,7 @@
     std::vector<RequestEvent> events_;
     std::optional<Crash> crash_; // not reported yet
     bool hasResponse_ { false }; // of any upstream that has run the request
+    bool hasFault_ { false };
     bool isFiberWaiting_ { false };
 };
 
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -55,6 +55,9 @@
     // An upstream is kept busy while its responses are on their way and the next requests come.
     constexpr double InitialOvercommit = 1.5;
 
+    // Two queries that arrive at a VM together do not wait for each other.
+    constexpr double MinInitialLimit = 2;
+
     // Requests per second assumed where all upstreams are limited to none.
     constexpr double MinQueueRate = 0.1;
 
@@ -92,8 +95,8 @@
     , log_(log)
     , now_(std::move(now))
     , maxVmsSeen_(settings.assumedVmCount)
-    , selector_(
-          { [this](UpstreamId id) { return hasCapacity(id); }, [this](UpstreamId id) { return isReachable(id); } })
+    , selector_({ [this](UpstreamId id) { return hasCapacity(id); }, [this](UpstreamId id) { return isReachable(id); },
+          [this](UpstreamId id) { upstreams_[id].concurrency.onWaiting(); } })
 {
 }
 
@@ -340,7 +343,7 @@
     const double max = std::max(1.0, static_cast<double>(limits.max));
     const double equalPart
         = entry.slots / static_cast<double>(vms_.empty() ? settings_.assumedVmCount : allotment(entry).vmCount());
-    return { std::min(equalPart, max), std::clamp(equalPart * InitialOvercommit, 1.0, max), max };
+    return { std::min(equalPart, max), std::clamp(equalPart * InitialOvercommit, std::min(MinInitialLimit, max), max), max };
 }
 
 void Directory::updateWarmUp(UpstreamId id)
@@ -474,11 +477,9 @@
     }
 }
 
-balancing::WaitQueue::Key Directory::enqueue(const routing::Route& route, ServiceState& service, base::TimePoint goal,
-    base::Duration work, CapacityCallback callback)
+balancing::WaitQueue::Key Directory::enqueue(
+    ServiceState& service, base::TimePoint goal, base::Duration work, CapacityCallback callback)
 {
-    for (UpstreamId id : upstreamsFor(route, service))
-        upstreams_[id].concurrency.onWaiting();
     const balancing::WaitQueue::Key key = ++lastKey_;
     service.queue.add(key, goal, work);
     service.callbacks.emplace(key, std::move(callback));
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -92,8 +92,7 @@
     const discovery::UpstreamEntry& entry(UpstreamId id) const { return upstreams_[id].upstream.entry; }
 
     // Queues a sub-request until an upstream has capacity. Returns the key for removeWaiting().
-    balancing::WaitQueue::Key enqueue(
-        const routing::Route&, ServiceState&, base::TimePoint goal, base::Duration work, CapacityCallback);
+    balancing::WaitQueue::Key enqueue(ServiceState&, base::TimePoint goal, base::Duration work, CapacityCallback);
     static void removeWaiting(ServiceState&, balancing::WaitQueue::Key);
 
     // Returns the upstreams of the service that may run requests of the route.
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -326,9 +326,10 @@
     exchange.onWritten
         = [this, outcomeDueAt = active->outcomeDueAt()] { state_.writeTimes.observe(state_.now() - outcomeDueAt); };
     const bool isLate = state_.now() > routed.goal + state_.writeTimes.reserve();
-    // What fails at once says nothing of the time that others take.
+    // What fails at once, or is late since attempts were lost, says nothing of the time that others take.
     const bool isInTime = active->outcomeDueAt() <= routed.goal;
-    if (result.finishReason == FinishReason::Answered || (result.finishReason != FinishReason::Abandoned && !isInTime))
+    const bool isLateByLoad = !isInTime && result.finishReason != FinishReason::Abandoned && !active->hasFault();
+    if ((isInTime && result.finishReason == FinishReason::Answered) || isLateByLoad)
         first->correction.onFinished(routed.route.priority, isInTime, state_.now());
     recordOutcome(routed, outcomeOf(result, isLate), &result, active.get());
     const bool isUnreached = result.finishReason == FinishReason::Failed && result.runState == RunState::NotRun
--- a/src/entry/tests/directorytests.cpp
+++ b/src/entry/tests/directorytests.cpp
@@ -112,10 +112,10 @@
                 return true;
             };
         };
-        harness.directory.enqueue({}, *service, harness.now + std::chrono::milliseconds(500), {}, start(1));
+        harness.directory.enqueue(*service, harness.now + std::chrono::milliseconds(500), {}, start(1));
         const auto removed
-            = harness.directory.enqueue({}, *service, harness.now + std::chrono::milliseconds(90), {}, start(2));
-        harness.directory.enqueue({}, *service, harness.now + std::chrono::milliseconds(100), {}, start(3));
+            = harness.directory.enqueue(*service, harness.now + std::chrono::milliseconds(90), {}, start(2));
+        harness.directory.enqueue(*service, harness.now + std::chrono::milliseconds(100), {}, start(3));
         Directory::removeWaiting(*service, removed);
         harness.directory.apply({ harness.upstream("a", "s") });
         cr_assert_eq(started, (std::vector<int> { 3, 1 }));
