Refuse at once what no VM reaches, and delegate to VMs that have links

Delegates were chosen without knowing their links. Change: a shard whose upstreams are all unreached fails at once, also while it waits (FanoutQuery, Directory::endUnreached). A VM that loses or regains almost all links states it in its membership update, with a new refutation, as boot numbers in a new field of the gossip; delegates are chosen among the others, and of any size if all large ones are cut off.

--- a/src/control/fleetmember.cpp
+++ b/src/control/fleetmember.cpp
@@ -86,10 +86,26 @@
         send(membership_.receive(*ack, now()));
     else if (const auto* request = std::get_if<fleet::PingRequest>(&message))
         send(membership_.receive(*request, now()));
-    if (std::exchange(hasCrashNews_, false))
+    const bool hasLinkNews = membership_.linkChangeCount() != linkChangeCount_;
+    if (hasLinkNews)
+        reportUnlinked();
+    if (std::exchange(hasCrashNews_, false) || hasLinkNews)
         send(membership_.gossipNow(NewsFanOut));
 }
 
+void FleetMember::reportUnlinked()
+{
+    linkChangeCount_ = membership_.linkChangeCount();
+    hooks_.onUnlinkedMembers(membership_.unlinkedNodes());
+}
+
+// Callers of these VMs are served only by others, so news of them do not wait for the next probe.
+void FleetMember::setUnlinked(bool isUnlinked)
+{
+    membership_.setUnlinked(isUnlinked);
+    send(membership_.gossipNow(NewsFanOut));
+}
+
 // Suspicions come and go all the time in a large fleet and leave the members as they are. Nodes under suspicion are
 // pinged anyway, so only members that come or go are worth gossip beyond the usual.
 void FleetMember::onMembershipChange()
--- a/src/control/fleetmember.h
+++ b/src/control/fleetmember.h
@@ -24,6 +24,9 @@
         // missing.
         std::function<void(const std::vector<fleet::NodeInfo>&)> onFirstMembers;
 
+        // Called with the VMs that reach almost no upstream, when one says so or reaches them again.
+        std::function<void(const std::vector<fleet::NodeId>&)> onUnlinkedMembers;
+
         // Called when another VM reports the state of the store that it holds, by era and revision.
         std::function<void(const fleet::NodeInfo& from, const fleet::ConfigurationId&)> onStoreState;
 
@@ -46,6 +49,9 @@
     // Tells the other VMs of a request that crashes upstreams, a few of them at once.
     void reportCrash(const quarantine::CrashRecord&);
 
+    // Tells the other VMs, a few of them at once, that this one reaches almost no upstream, or does again.
+    void setUnlinked(bool);
+
     // Announces to the other VMs that this VM is shutting down.
     void leave();
 
@@ -59,6 +65,7 @@
     void onMembershipChange();
     void onMessage(const fleet::FleetMessage&);
     void reportMembers();
+    void reportUnlinked();
 
     boost::asio::io_context& io_;
     Hooks hooks_;
@@ -69,6 +76,7 @@
     std::uint64_t upChangeCount_ { 0 };
     bool haveMembersChanged_ { false };
     bool hasCrashNews_ { false }; // received and not passed on yet
+    std::uint64_t linkChangeCount_ { 0 };
     bool hasReported_ { false };
     base::TimePoint nextFirstReport_;
     base::TimePoint changedAt_; // last change of the members
--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -99,10 +99,12 @@
     , writeLog_(eventlog::makeStandardOutputWriter())
     , control_("control")
     , log_({}, { [] { return std::chrono::steady_clock::now(); }, writeLog_ })
-    , entry_(makeEntrySettings(settings_), platform::makeCallerProtocol(), platform::makeUpstreamProtocol(), writeLog_,
+    , entry_(
+          makeEntrySettings(settings_), platform::makeCallerProtocol(), platform::makeUpstreamProtocol(), writeLog_,
           [this](const quarantine::CrashRecord& record) {
               control_.post([this, record] { fleet_->reportCrash(record); });
-          })
+          },
+          [this](bool areLinksLost) { control_.post([this, areLinksLost] { fleet_->setUnlinked(areLinksLost); }); })
     , identity_(makeIdentity(makeNode(settings_), settings_.peerKey))
     , sources_(http::toString(settings_.store))
     , signals_(control_.io(), SIGTERM, SIGINT, SIGHUP)
@@ -211,6 +213,10 @@
     return {
         [this](const std::vector<fleet::NodeInfo>& vms) { onFleetView(vms); },
         [this](const std::vector<fleet::NodeInfo>& vms) { entry_.applyFirstMembers(vms, fleet_->self()); },
+        [this](const std::vector<fleet::NodeId>& vms) {
+            log_.writeChange("unlinked_vms", { { "vms", vms.size() } });
+            entry_.applyUnlinked(vms);
+        },
         [this](const fleet::NodeInfo& from, const fleet::ConfigurationId& state) { onPeerState(from, state); },
         [this](const quarantine::CrashRecord& record, base::TimePoint changedAt) {
             entry_.mergeCrashRecord(record, changedAt);
--- a/src/delegation/delegationplan.cpp
+++ b/src/delegation/delegationplan.cpp
@@ -3,6 +3,7 @@
 #include "fleet/rendezvous.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <tuple>
 
@@ -51,10 +52,29 @@
             && vm.processorMilli * MinProcessorRatio <= large.maxProcessor;
     }
 
+    // Leaves out the VMs that are unlinked. If all large VMs are, any linked one of the region will do, and if there is
+    // none, the news may be old.
+    void keepLinked(std::vector<NodeInfo>& delegates, const std::vector<NodeInfo>& vms, const NodeInfo& self,
+        const std::vector<fleet::NodeId>& unlinked)
+    {
+        const auto isUnlinked
+            = [&](const NodeInfo& vm) { return std::ranges::find(unlinked, vm.id) != unlinked.end(); };
+        if (std::ranges::none_of(delegates, isUnlinked))
+            return;
+        std::vector<NodeInfo> linked;
+        const auto isUsable = [&](const NodeInfo& vm) { return !isUnlinked(vm) && !vm.fanouts.empty(); };
+        std::ranges::copy_if(delegates, std::back_inserter(linked), isUsable);
+        if (linked.empty())
+            std::ranges::copy_if(vms, std::back_inserter(linked),
+                [&](const NodeInfo& vm) { return isUsable(vm) && vm.id != self.id && vm.region == self.region; });
+        if (!linked.empty())
+            delegates = std::move(linked);
+    }
+
 } // namespace
 
-DelegationPlan makeDelegationPlan(
-    const std::vector<NodeInfo>& vms, const NodeInfo& self, const std::set<std::string>& upstreamZones)
+DelegationPlan makeDelegationPlan(const std::vector<NodeInfo>& vms, const NodeInfo& self,
+    const std::set<std::string>& upstreamZones, const std::vector<fleet::NodeId>& unlinked)
 {
     DelegationPlan plan;
     std::map<std::string, LargeVms> largeByRegion;
@@ -69,6 +89,7 @@
     plan.isDelegatingFanouts = isDelegating(self, large);
     plan.delegates = large.vms;
     std::erase_if(plan.delegates, [&](const NodeInfo& vm) { return vm.id == self.id; });
+    keepLinked(plan.delegates, vms, self, unlinked);
     const auto isNearUpstreams = [&](const NodeInfo& vm) { return upstreamZones.contains(vm.zone); };
     if (static_cast<std::size_t>(std::ranges::count_if(plan.delegates, isNearUpstreams)) >= MinDelegates)
         std::erase_if(plan.delegates, [&](const NodeInfo& vm) { return !isNearUpstreams(vm); });
--- a/src/delegation/delegationplan.h
+++ b/src/delegation/delegationplan.h
@@ -31,8 +31,9 @@
 };
 
 // vms: all VMs that are up, including self. upstreamZones: availability zones with upstreams of sharded services;
-// delegates there are preferred, since only the merged response then crosses zones.
-DelegationPlan makeDelegationPlan(
-    const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self, const std::set<std::string>& upstreamZones);
+// delegates there are preferred, since only the merged response then crosses zones. unlinked: VMs that reach almost no
+// upstream; they are no delegates while there are others.
+DelegationPlan makeDelegationPlan(const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self,
+    const std::set<std::string>& upstreamZones, const std::vector<fleet::NodeId>& unlinked = {});
 
 } // namespace flamingousher::delegation
--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -109,12 +109,14 @@
 
 EntryThread::EntryThread(const EntrySettings& settings, const CallerProtocol& callers,
     const upstreamclient::UpstreamProtocol& upstreams, std::function<void(const std::string&)> writeLog,
-    std::function<void(const quarantine::CrashRecord&)> reportCrash)
+    std::function<void(const quarantine::CrashRecord&)> reportCrash, std::function<void(bool areLost)> reportLinks)
     : thread_("entry")
     , settings_(settings)
     , state_(thread_.call([&] {
-        return std::make_unique<State>(
+        auto state = std::make_unique<State>(
             thread_.io(), settings, callers, upstreams, std::move(writeLog), std::move(reportCrash));
+        state->shared.directory.onLinksChanged = std::move(reportLinks);
+        return state;
     }))
 {
     thread_.post([this] { runSweep(); });
@@ -187,6 +189,14 @@
     });
 }
 
+void EntryThread::applyUnlinked(std::vector<fleet::NodeId> vms)
+{
+    thread_.call([&] {
+        state_->shared.directory.setUnlinked(std::move(vms));
+        state_->shared.updateDelegates();
+    });
+}
+
 void EntryThread::applyFirstMembers(std::vector<fleet::NodeInfo> vms, const fleet::NodeInfo& self)
 {
     thread_.call([&] {
--- a/src/entry/entrythread.h
+++ b/src/entry/entrythread.h
@@ -22,9 +22,11 @@
 public:
     // writeLog: writes one log line, given as the members of a JSON object; must not block.
     // reportCrash: tells the other VMs of a request that crashes upstreams; called on this thread. May be empty.
+    // reportLinks: tells them that this VM has lost almost all links to upstreams, or has them again. May be empty.
     EntryThread(const EntrySettings&, const CallerProtocol&, const upstreamclient::UpstreamProtocol&,
         std::function<void(const std::string&)> writeLog,
-        std::function<void(const quarantine::CrashRecord&)> reportCrash = {});
+        std::function<void(const quarantine::CrashRecord&)> reportCrash = {},
+        std::function<void(bool areLost)> reportLinks = {});
     ~EntryThread();
     EntryThread(const EntryThread&) = delete;
     EntryThread& operator=(const EntryThread&) = delete;
@@ -43,6 +45,9 @@
     // Sets the VMs, including this one, that share the connection limits of the upstreams and the retry budgets.
     void applyFleet(std::vector<fleet::NodeInfo>, const fleet::NodeInfo& self);
 
+    // Sets the VMs that reach almost no upstream: requests are not delegated to them while there are others.
+    void applyUnlinked(std::vector<fleet::NodeId>);
+
     // Applies a first view of the fleet, which is not complete: only delegates are chosen from it.
     void applyFirstMembers(std::vector<fleet::NodeInfo> vms, const fleet::NodeInfo& self);
 
--- a/src/entry/internal/activerequest.cpp
+++ b/src/entry/internal/activerequest.cpp
@@ -46,6 +46,7 @@
             return services_[shard]->budget.tryAcquire(kind, state_.now());
         },
         [this] { return state_.nextId(); },
+        [this](std::uint32_t shard) { return state_.directory.isUnreached(route_, *services_[shard]); },
     };
 }
 
@@ -179,8 +180,8 @@
         }
         return false;
     };
-    queueKeys_[shard] = state_.directory.enqueue(
-        *services_[shard], spec_.answerBy, latency_->subRequests.typical(), onCapacity);
+    queueKeys_[shard]
+        = state_.directory.enqueue(*services_[shard], spec_.answerBy, latency_->subRequests.typical(), onCapacity);
 }
 
 void ActiveRequest::onResult(AttemptId id, upstreamclient::AttemptResult result)
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -343,7 +343,8 @@
     const double max = std::max(1.0, static_cast<double>(limits.max));
     const double equalPart
         = entry.slots / static_cast<double>(vms_.empty() ? settings_.assumedVmCount : allotment(entry).vmCount());
-    return { std::min(equalPart, max), std::clamp(equalPart * InitialOvercommit, std::min(MinInitialLimit, max), max), max };
+    return { std::min(equalPart, max), std::clamp(equalPart * InitialOvercommit, std::min(MinInitialLimit, max), max),
+        max };
 }
 
 void Directory::updateWarmUp(UpstreamId id)
@@ -413,7 +414,7 @@
                 zones.insert(entry(id).zone);
         }
     }
-    return vms.empty() ? delegation::DelegationPlan {} : delegation::makeDelegationPlan(vms, self_, zones);
+    return vms.empty() ? delegation::DelegationPlan {} : delegation::makeDelegationPlan(vms, self_, zones, unlinked_);
 }
 
 void Directory::updatePlan()
@@ -450,7 +451,7 @@
 
 delegation::DelegationPlan Directory::currentPlan() const
 {
-    return vms_.empty() ? makePlan(firstMembers_) : plan_;
+    return makePlan(vms_.empty() ? firstMembers_ : vms_);
 }
 
 void Directory::setFleet(const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self)
@@ -608,8 +609,25 @@
     std::erase_if(openPoolIds_,
         [this](UpstreamId id) { return upstreams_[id].isRetired && upstreams_[id].pool->connectionCount() == 0; });
     updateLinks();
-    for (const auto& [name, state] : services_)
+    for (const auto& [name, state] : services_) {
         dispatchWaiting(name);
+        endUnreached(state);
+    }
+}
+
+// What waits for a service that is not reached ends at once, not when its turn comes.
+void Directory::endUnreached(const std::shared_ptr<ServiceState>& state)
+{
+    if (state->queue.size() == 0 || !isUnreached({}, *state))
+        return;
+    for (balancing::WaitQueue::Key key : state->queue.peek(state->queue.size(), now_())) {
+        const auto waiting = state->callbacks.find(key);
+        if (waiting == state->callbacks.end())
+            continue;
+        const CapacityCallback callback = waiting->second;
+        if (callback())
+            removeWaiting(*state, key);
+    }
 }
 
 Directory::ReachCounts Directory::countReach() const
@@ -626,15 +644,18 @@
 }
 
 // All VMs know the same upstreams, so a service without any is missing everywhere.
+bool Directory::isUnreached(const routing::Route& route, const ServiceState& service) const
+{
+    const std::vector<UpstreamId> upstreams = upstreamsFor(route, service);
+    return !upstreams.empty() && std::ranges::all_of(upstreams, [this](UpstreamId id) {
+        return upstreams_[id].pool->reach() == upstreamclient::Reach::Unreached;
+    });
+}
+
 bool Directory::reachesService(const routing::Route& route, const std::string& name) const
 {
     const auto found = services_.find(name);
-    if (found == services_.end())
-        return true;
-    const std::vector<UpstreamId> upstreams = upstreamsFor(route, *found->second);
-    return upstreams.empty() || std::ranges::any_of(upstreams, [this](UpstreamId id) {
-        return upstreams_[id].pool->reach() != upstreamclient::Reach::Unreached;
-    });
+    return found == services_.end() || !isUnreached(route, *found->second);
 }
 
 bool Directory::reaches(const routing::Route& route) const
@@ -655,6 +676,8 @@
         return;
     log_.writeChange(links_.areLinksLost() ? "links_lost" : "links_restored",
         { { "reached", counts.reached }, { "unreached", counts.unreached } });
+    if (onLinksChanged)
+        onLinksChanged(links_.areLinksLost());
 }
 
 std::size_t Directory::connectionCount() const
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -65,6 +65,12 @@
     // Sets the VMs, including this one, that share the connection limits of the upstreams and the retry budgets.
     void setFleet(const std::vector<fleet::NodeInfo>&, const fleet::NodeInfo& self);
 
+    // Sets the VMs that reach almost no upstream. They are no delegates while there are others.
+    void setUnlinked(std::vector<fleet::NodeId> vms) { unlinked_ = std::move(vms); }
+
+    // Called when this VM has lost almost all links to upstreams, or has them again. May be empty.
+    std::function<void(bool areLost)> onLinksChanged;
+
     // Returns which VMs run requests of others. Until the fleet is known, they are chosen from the first members: a
     // small VM would take too long to open connections to all shards itself.
     delegation::DelegationPlan currentPlan() const;
@@ -95,6 +101,9 @@
     balancing::WaitQueue::Key enqueue(ServiceState&, base::TimePoint goal, base::Duration work, CapacityCallback);
     static void removeWaiting(ServiceState&, balancing::WaitQueue::Key);
 
+    // Returns whether the service has upstreams for requests of the route, and none of them is reached.
+    bool isUnreached(const routing::Route&, const ServiceState&) const;
+
     // Returns the upstreams of the service that may run requests of the route.
     std::vector<UpstreamId> upstreamsFor(const routing::Route&, const ServiceState&) const;
 
@@ -144,6 +153,7 @@
     UpstreamId add(const discovery::DiscoveredUpstream&);
     void retire(UpstreamId);
     void dispatchWaiting(const std::string& service);
+    void endUnreached(const std::shared_ptr<ServiceState>&);
     void awaitPauseEnd(const std::shared_ptr<ServiceState>&);
     base::Duration pauseTime(UpstreamId) const;
     balancing::ReplicaSelector::Distance distance(const discovery::UpstreamEntry&, const ConnectionLimits&) const;
@@ -185,6 +195,7 @@
     std::vector<fleet::NodeInfo> vms_; // empty until the fleet is known
     std::vector<fleet::NodeInfo> firstMembers_; // used until then
     fleet::NodeInfo self_;
+    std::vector<fleet::NodeId> unlinked_;
     delegation::DelegationPlan plan_;
     std::set<std::string> shardedServices_; // services that are shards of a route
     balancing::RetryBudget restarts_;
--- a/src/fanout/fanoutquery.cpp
+++ b/src/fanout/fanoutquery.cpp
@@ -110,6 +110,16 @@
     actions.push_back(SendAttempt { id, shard, upstream, isExtra });
 }
 
+// Before the first attempt an upstream may still be discovered, and one that refused a connection may accept one before
+// the goal; after other failures another upstream is needed. What cannot be connected to is left to other VMs at once.
+bool FanoutQuery::mayBecomeUsable(std::uint32_t shard, base::TimePoint now) const
+{
+    if (hooks_.isUnreached && hooks_.isUnreached(shard))
+        return false;
+    const Shard& state = shards_[shard];
+    return state.hasConnectFailure ? now < spec_.answerBy : state.tried.empty();
+}
+
 void FanoutQuery::sendOrAwait(std::uint32_t shard, bool isExtra, base::TimePoint now, std::vector<Action>& actions)
 {
     Shard& state = shards_[shard];
@@ -118,10 +128,7 @@
         send(shard, choice.upstream, isExtra, now, actions);
         return;
     }
-    // Before the first attempt an upstream may still be discovered, and one that refused a connection may accept one
-    // before the goal; after other failures another upstream is needed.
-    const bool mayBecomeUsable = state.hasConnectFailure ? now < spec_.answerBy : state.tried.empty();
-    if (choice.outcome == ReplicaSelector::Outcome::NoneUsable && !mayBecomeUsable) {
+    if (choice.outcome == ReplicaSelector::Outcome::NoneUsable && !mayBecomeUsable(shard, now)) {
         failShard(shard);
         return;
     }
@@ -255,8 +262,12 @@
     if (isFinished_ || !state.isAwaitingCapacity)
         return actions;
     const ReplicaSelector::Choice choice = hooks_.choose(shard, state.tried);
-    if (choice.outcome == ReplicaSelector::Outcome::Chosen)
+    if (choice.outcome == ReplicaSelector::Outcome::Chosen) {
         send(shard, choice.upstream, !state.tried.empty(), now, actions);
+    } else if (choice.outcome == ReplicaSelector::Outcome::NoneUsable && !mayBecomeUsable(shard, now)) {
+        failShard(shard);
+        finishIfSettled(now, actions);
+    }
     return actions;
 }
 
--- a/src/fanout/fanoutquery.h
+++ b/src/fanout/fanoutquery.h
@@ -21,6 +21,9 @@
 
     // Returns an identifier that is unique within this process.
     std::function<AttemptId()> nextAttemptId;
+
+    // Returns whether the shard has upstreams, and connections to none of them can be opened. May be empty.
+    std::function<bool(std::uint32_t shard)> isUnreached;
 };
 
 // State machine of a request that is sent to one upstream of each of its shards; a request to a single service has one
@@ -92,6 +95,7 @@
     bool isCanaryPending() const;
     void hedge(std::uint32_t shard, base::TimePoint now, std::vector<Action>&);
     void failUnconnectedShards();
+    bool mayBecomeUsable(std::uint32_t shard, base::TimePoint now) const;
     void failShard(std::uint32_t shard);
     void finishIfSettled(base::TimePoint now, std::vector<Action>&);
     void finish(FinishReason, std::vector<Action>&);
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <utility>
 
 namespace flamingousher::fleet {
 
@@ -147,7 +148,7 @@
     if (found == members_.end() || found->second.state != MemberState::Alive)
         return;
     setState(found->second, MemberState::Suspect, found->second.refutation, now);
-    queueUpdate({ found->second.node, MemberState::Suspect, found->second.refutation });
+    queueUpdate({ found->second.node, MemberState::Suspect, found->second.refutation, found->second.isUnlinked });
 }
 
 // Pings suspected nodes: they must know of the suspicion to refute it, and gossip may miss them.
@@ -319,7 +320,7 @@
     for (std::size_t index = 0; index < candidates.size() && gossip.members.size() < maxMembers; ++index) {
         std::swap(candidates[index], candidates[index + hooks_.random() % (candidates.size() - index)]);
         const Member& chosen = *candidates[index];
-        gossip.members.push_back({ chosen.node, chosen.state, chosen.refutation });
+        gossip.members.push_back({ chosen.node, chosen.state, chosen.refutation, chosen.isUnlinked });
     }
 }
 
@@ -334,7 +335,8 @@
         // Ignore nodes that are first reported after they left or died.
         if (!isUp(update.state))
             return;
-        members_.emplace(update.node.id, Member { update.node, update.state, update.refutation, now, {} });
+        members_.emplace(
+            update.node.id, Member { update.node, update.state, update.refutation, now, {}, update.isUnlinked });
         suspects_ += update.state == MemberState::Suspect ? 1 : 0;
         addUp(update.node.id);
         queueUpdate(update);
@@ -343,6 +345,10 @@
     }
     if (!overrides(update, found->second))
         return;
+    if (update.refutation > found->second.refutation && found->second.isUnlinked != update.isUnlinked) {
+        found->second.isUnlinked = update.isUnlinked;
+        ++linkChangeCount_;
+    }
     setState(found->second, update.state, update.refutation, now);
     queueUpdate(update);
 }
@@ -405,12 +411,36 @@
         return;
     if (update.refutation < refutation_) {
         // The sender has missed the refutation, so send it again.
-        queueUpdate({ self_, MemberState::Alive, refutation_ });
+        queueUpdate(ownUpdate());
         return;
     }
     ownDeathReports_ += update.state == MemberState::Dead ? 1 : 0;
     refutation_ = update.refutation + 1;
-    queueUpdate({ self_, MemberState::Alive, refutation_ });
+    queueUpdate(ownUpdate());
+}
+
+MemberUpdate Membership::ownUpdate() const
+{
+    return { self_, MemberState::Alive, refutation_, isUnlinked_ };
+}
+
+// Like a refutation, the statement overrides what the others know of this node.
+void Membership::setUnlinked(bool isUnlinked)
+{
+    if (std::exchange(isUnlinked_, isUnlinked) == isUnlinked)
+        return;
+    ++refutation_;
+    queueUpdate(ownUpdate());
+}
+
+std::vector<NodeId> Membership::unlinkedNodes() const
+{
+    std::vector<NodeId> nodes;
+    for (const NodeId& id : up_) {
+        if (members_.at(id).isUnlinked)
+            nodes.push_back(id);
+    }
+    return nodes;
 }
 
 void Membership::queueUpdate(const MemberUpdate& update)
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -74,6 +74,13 @@
     // Number of alive or suspected nodes, including this one.
     std::size_t upCount() const { return up_.size() + 1; }
 
+    // States to all nodes that this one reaches almost no upstream, or does again.
+    void setUnlinked(bool);
+
+    // Nodes that are up and have stated so, and the number of times that one changed its statement.
+    std::vector<NodeId> unlinkedNodes() const;
+    std::uint64_t linkChangeCount() const { return linkChangeCount_; }
+
     // Number of times that a node came up or went down. Suspicions do not count.
     std::uint64_t upChangeCount() const { return upChangeCount_; }
 
@@ -128,6 +135,7 @@
     void applyGossip(const NodeInfo& from, const Gossip&, base::TimePoint now);
     void onMessageFrom(const NodeInfo&, base::TimePoint now, std::vector<Outgoing>&);
     void refute(const MemberUpdate&);
+    MemberUpdate ownUpdate() const;
     void queueUpdate(const MemberUpdate&);
     void addPendingUpdates(std::size_t maxMembers, Gossip&);
     void fill(std::size_t maxMembers, Gossip&);
@@ -150,6 +158,8 @@
     std::unordered_map<std::string, NodeId> upByEndpoint_;
     std::set<std::string> left_; // endpoints of nodes that left as planned
     std::uint64_t upChangeCount_ { 0 };
+    std::uint64_t linkChangeCount_ { 0 };
+    bool isUnlinked_ { false }; // this node
     std::size_t suspects_ { 0 };
     std::deque<bool> probeResults_; // newest last
     std::vector<NodeId> probeOrder_;
--- a/src/fleet/types.h
+++ b/src/fleet/types.h
@@ -48,6 +48,7 @@
     NodeInfo node;
     MemberState state { MemberState::Alive };
     std::uint32_t refutation { 0 };
+    bool isUnlinked { false }; // reaches almost no upstream; stated by the node itself with each refutation
 
     auto operator<=>(const MemberUpdate&) const = default;
 };
@@ -130,6 +131,7 @@
     std::uint32_t refutation { 0 };
     base::TimePoint stateSince;
     base::TimePoint lastMessageAt; // directly from the node
+    bool isUnlinked { false };
 
     bool operator==(const Member&) const = default;
 };
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -54,6 +54,8 @@
         packed->view_digest = gossip.viewDigest;
         packed->view_buckets = gossip.viewBuckets;
         for (const fleet::MemberUpdate& update : gossip.members) {
+            if (update.isUnlinked)
+                packed->unlinked.push_back(update.node.id.boot);
             if (packCompact(update, *packed))
                 continue;
             auto member = std::make_unique<fb::MemberUpdateT>();
@@ -90,6 +92,8 @@
         }
         for (const auto& member : packed->members)
             gossip.members.push_back({ unpack(member->node), toMemberState(member->state), member->refutation });
+        for (fleet::MemberUpdate& update : gossip.members)
+            update.isUnlinked = std::ranges::find(packed->unlinked, update.node.id.boot) != packed->unlinked.end();
         gossip.crashDigest = packed->crash_digest;
         for (const auto& crash : packed->crashes) {
             gossip.crashes.push_back({ { crash->fingerprint, crash->version, crash->crashes, crash->upstream },
