--- a/src/balancing/concurrencylimit.cpp
+++ b/src/balancing/concurrencylimit.cpp
@@ -61,10 +61,20 @@
     return latency > latencyGoal * MaxGoalFraction;
 }
 
-void ConcurrencyLimit::onAnswered(base::TimePoint sentAt, base::Duration latencyGoal, base::TimePoint now)
+// An upstream that states that nothing waits there is slow, but not full: fewer requests would not make it faster. Its
+// word does not count where its answers leave no time at all.
+bool ConcurrencyLimit::isFull(
+    base::Duration latency, base::Duration latencyGoal, const std::optional<UpstreamLoad>& load)
+{
+    const bool deniesFullness = load && load->slots > 0 && load->waiting == 0 && load->running < load->slots;
+    return isSlow(latency, latencyGoal) && (!deniesFullness || latency > latencyGoal);
+}
+
+void ConcurrencyLimit::onAnswered(
+    base::TimePoint sentAt, base::Duration latencyGoal, base::TimePoint now, const std::optional<UpstreamLoad>& load)
 {
     const base::Duration latency = now - sentAt;
-    if (isSlow(latency, latencyGoal)) {
+    if (isFull(latency, latencyGoal, load)) {
         onSlow(sentAt, now);
         pauseAfter(latency, now);
         return;
--- a/src/balancing/concurrencylimit.h
+++ b/src/balancing/concurrencylimit.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "base/types.h"
+#include "balancing/types.h"
 
 #include <cstddef>
 #include <optional>
@@ -38,7 +38,9 @@
 
     // Records a response. latencyGoal: of its route, from the arrival of the caller's request to the answer. Refusals
     // do not count: an upstream that is full is slow too, and one that refuses for other reasons is not full.
-    void onAnswered(base::TimePoint sentAt, base::Duration latencyGoal, base::TimePoint now);
+    // load: that the upstream states in the response, if it does.
+    void onAnswered(base::TimePoint sentAt, base::Duration latencyGoal, base::TimePoint now,
+        const std::optional<UpstreamLoad>& load = std::nullopt);
 
     // Records that a request is given up, since its response is no longer needed. Counts only if it took long by then.
     void onDropped(base::TimePoint sentAt, base::Duration latencyGoal, base::TimePoint now);
@@ -51,6 +53,7 @@
 
 private:
     static bool isSlow(base::Duration latency, base::Duration latencyGoal);
+    static bool isFull(base::Duration latency, base::Duration latencyGoal, const std::optional<UpstreamLoad>&);
     void onSlow(base::TimePoint sentAt, base::TimePoint now);
     void pauseAfter(base::Duration latency, base::TimePoint now);
 
--- a/src/balancing/tests/memorybudgettests.cpp
+++ b/src/balancing/tests/memorybudgettests.cpp
@@ -125,3 +125,21 @@
     harness.charges.clear();
     cr_expect_eq(harness.budget.used(), 0);
 }
+
+// Load pattern: a crowd of callers that stop just short of the end of their requests.
+Test(MemoryBudget, evictsOldestChargeOfOwnerThatIsOrderedByAge)
+{
+    MemoryBudget budget(Limit);
+    std::vector<int> evicted;
+    std::vector<MemoryBudget::Charge> charges;
+    for (int number = 0; number < 4; ++number) {
+        charges.push_back(budget.open(
+            "callers", [&evicted, number] { evicted.push_back(number); }, MemoryBudget::Order::OldestFirst));
+        charges.back().resize(number == 2 ? 400 : 200);
+    }
+    cr_expect(evicted.empty());
+    charges[0].setEvict(nullptr);
+    MemoryBudget::Charge response = budget.open("upstream", [] { cr_assert_fail("another owner holds more"); });
+    response.resize(250);
+    cr_expect(evicted == (std::vector { 1, 2 }), "the first is being handled, and the largest is not the oldest");
+}
--- a/src/balancing/types.h
+++ b/src/balancing/types.h
@@ -13,12 +13,22 @@
 // Identifies one attempt at an upstream within this process. Never reused.
 using AttemptId = std::uint64_t;
 
+// Requests at an upstream, as it states them in a response.
+struct UpstreamLoad {
+    std::uint32_t running { 0 };
+    std::uint32_t waiting { 0 };
+    std::uint32_t slots { 0 };
+
+    bool operator==(const UpstreamLoad&) const = default;
+};
+
 // What an upstream says of itself in a response.
 struct UpstreamNotice {
     std::optional<double> requestsPerSecond; // that it takes from all VMs together
     bool isLeaving { false }; // it is about to stop
     std::chrono::duration<double> pause { 0 }; // for this long it wants no requests from this VM
     std::optional<base::Duration> warmUpRemaining; // it stays cold for so long
+    std::optional<UpstreamLoad> load;
 
     bool operator==(const UpstreamNotice&) const = default;
 };
--- a/src/delegation/tests/delegationplantests.cpp
+++ b/src/delegation/tests/delegationplantests.cpp
@@ -137,3 +137,29 @@
         }
     }
 }
+
+// Failure: most large VMs are cut off from all upstreams.
+Test(DelegationPlan, leavesOutVmsThatReachNoUpstream)
+{
+    const auto vms = largeFleet();
+    std::vector<fleet::NodeId> unlinked;
+    for (const fleet::NodeInfo& vm : vms) {
+        if (isLarge(vm) && vm.zone != "z5")
+            unlinked.push_back(vm.id);
+    }
+    const auto isUnlinked
+        = [&](const fleet::NodeInfo& vm) { return std::ranges::find(unlinked, vm.id) != unlinked.end(); };
+    DelegationPlan plan = makeDelegationPlan(vms, vms.back(), {}, unlinked);
+    cr_expect_eq(plan.delegates.size(), 3);
+    cr_expect(std::ranges::none_of(plan.delegates, isUnlinked));
+    for (const fleet::NodeInfo& vm : vms) {
+        if (isLarge(vm) && vm.zone == "z5")
+            unlinked.push_back(vm.id);
+    }
+    plan = makeDelegationPlan(vms, vms.back(), {}, unlinked);
+    cr_expect_gt(plan.delegates.size(), 0, "smaller VMs will do");
+    cr_expect(std::ranges::none_of(plan.delegates, isUnlinked));
+    for (const fleet::NodeInfo& vm : vms)
+        unlinked.push_back(vm.id);
+    cr_expect_gt(makeDelegationPlan(vms, vms.back(), {}, unlinked).delegates.size(), 0, "the news may be old");
+}
--- a/src/entry/internal/activerequest.cpp
+++ b/src/entry/internal/activerequest.cpp
@@ -207,7 +207,7 @@
     case ReplyKind::Success:
         onResponse();
         state_.directory.selector().onAnswered(attempt.upstream, id, now);
-        state_.directory.concurrency(attempt.upstream).onAnswered(attempt.at, route_.goal, now);
+        state_.directory.concurrency(attempt.upstream).onAnswered(attempt.at, route_.goal, now, reply.notice.load);
         latency_->subRequests.observe(now - attempt.at);
         replies_[attempt.shard] = std::move(reply);
         apply(query_.onAnswered(id, now));
--- a/src/fanout/tests/fanoutquerytests.cpp
+++ b/src/fanout/tests/fanoutquerytests.cpp
@@ -25,7 +25,8 @@
                     hedgeFrom, deliverySpread, isProbe },
             { [this](std::uint32_t shard, const std::vector<UpstreamId>& tried) { return choose(shard, tried); },
                 [](std::uint32_t, UpstreamId) { return milliseconds(20); },
-                [this](std::uint32_t, ExtraAttempt) { return extraAttemptBudget-- > 0; }, [this] { return ++lastId; } })
+                [this](std::uint32_t, ExtraAttempt) { return extraAttemptBudget-- > 0; }, [this] { return ++lastId; },
+                [this](std::uint32_t shard) { return unreachedShards.contains(shard); } })
     {
     }
 
@@ -87,6 +88,7 @@
     int extraAttemptBudget { 100 };
     std::uint64_t lastId { 0 };
     std::set<UpstreamId> busy;
+    std::set<std::uint32_t> unreachedShards;
     std::set<UpstreamId> unreachable;
     std::map<std::uint32_t, std::vector<SendAttempt>> attempts;
     std::set<AttemptId> droppedAttempts;
@@ -404,3 +406,28 @@
     cr_assert_eq(harness.sentCount(), 2);
     cr_assert(!harness.finish);
 }
+
+// Fault: a request that no connection could be opened for waited until its goal, or its deadline, to be refused.
+Test(FanoutQuery, failsAtOnceWhatCannotBeConnectedTo)
+{
+    Harness harness(2, 1);
+    harness.unreachable = { 0, 1, 2 };
+    harness.start();
+    cr_assert(!harness.finish.has_value(), "an upstream may still be discovered");
+    harness.unreachedShards = { 0 };
+    harness.apply(harness.query.onCapacity(0, Start + milliseconds(5)));
+    cr_assert(harness.finish.has_value());
+    cr_expect(harness.finish->finishReason == FinishReason::Failed);
+}
+
+Test(FanoutQuery, failsAtOnceWhenConnectionsBreakBeforeTheRequestIsWritten)
+{
+    Harness harness(1, 1);
+    harness.start();
+    harness.unreachable = { 0, 1, 2 };
+    harness.unreachedShards = { 0 };
+    harness.apply(harness.query.onFailed(
+        harness.attempts[0].at(0).attempt, { RunState::NotRun, false, "broken" }, Start + milliseconds(5)));
+    cr_assert(harness.finish.has_value());
+    cr_expect(harness.finish->runState == RunState::NotRun);
+}
--- a/src/fleet/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -337,6 +337,7 @@
             return;
         members_.emplace(
             update.node.id, Member { update.node, update.state, update.refutation, now, {}, update.isUnlinked });
+        linkChangeCount_ += update.isUnlinked ? 1 : 0;
         suspects_ += update.state == MemberState::Suspect ? 1 : 0;
         addUp(update.node.id);
         queueUpdate(update);
@@ -348,6 +349,8 @@
     if (update.refutation > found->second.refutation && found->second.isUnlinked != update.isUnlinked) {
         found->second.isUnlinked = update.isUnlinked;
         ++linkChangeCount_;
+        if (isUp(found->second.state))
+            toggleUnlinked(update.node.id);
     }
     setState(found->second, update.state, update.refutation, now);
     queueUpdate(update);
@@ -377,6 +380,8 @@
     ++upChangeCount_;
     up_.push_back(id);
     viewDigest_.toggle(id);
+    if (members_.at(id).isUnlinked)
+        toggleUnlinked(id);
     left_.erase(id.endpoint);
     upByEndpoint_.insert_or_assign(id.endpoint, id);
 }
@@ -386,6 +391,8 @@
     ++upChangeCount_;
     std::erase(up_, id);
     viewDigest_.toggle(id);
+    if (members_.at(id).isUnlinked)
+        toggleUnlinked(id);
     const auto found = upByEndpoint_.find(id.endpoint);
     if (found != upByEndpoint_.end() && found->second == id)
         upByEndpoint_.erase(found);
@@ -430,9 +437,16 @@
     if (std::exchange(isUnlinked_, isUnlinked) == isUnlinked)
         return;
     ++refutation_;
+    toggleUnlinked(self_.id);
     queueUpdate(ownUpdate());
 }
 
+// Counts the statement as a member of its own, so that nodes that have missed it find out when they compare views.
+void Membership::toggleUnlinked(const NodeId& id)
+{
+    viewDigest_.toggle({ id.endpoint, ~id.boot });
+}
+
 std::vector<NodeId> Membership::unlinkedNodes() const
 {
     std::vector<NodeId> nodes;
--- a/src/fleet/membership.h
+++ b/src/fleet/membership.h
@@ -136,6 +136,7 @@
     void onMessageFrom(const NodeInfo&, base::TimePoint now, std::vector<Outgoing>&);
     void refute(const MemberUpdate&);
     MemberUpdate ownUpdate() const;
+    void toggleUnlinked(const NodeId&);
     void queueUpdate(const MemberUpdate&);
     void addPendingUpdates(std::size_t maxMembers, Gossip&);
     void fill(std::size_t maxMembers, Gossip&);
--- a/src/fleet/tests/crashgossiptests.cpp
+++ b/src/fleet/tests/crashgossiptests.cpp
@@ -155,3 +155,40 @@
     cr_expect_eq(message.crashDigest, 0u);
     cr_expect(message.crashes.empty());
 }
+
+// Failure: some VMs lose their links to all upstreams, while the others and callers still reach them.
+Test(LinkGossip, reachesAllNodesAndIsTakenBack)
+{
+    for (const std::size_t count : { 8U, 72U }) {
+        Fleet fleet(count);
+        fleet.at("3").setUnlinked(true);
+        fleet.at("5").setUnlinked(true);
+        fleet.run(seconds(6));
+        std::size_t knowing = 0;
+        for (std::size_t index = 0; index < count; ++index)
+            knowing += fleet.at(std::to_string(index)).unlinkedNodes().size() >= (index == 3 || index == 5 ? 1U : 2U)
+                ? 1
+                : 0;
+        cr_expect_geq(knowing * 20, count * 19, "%zu of %zu", knowing, count);
+        fleet.at("3").setUnlinked(false);
+        fleet.run(seconds(6));
+        knowing = 0;
+        for (std::size_t index = 0; index < count; ++index)
+            knowing += fleet.at(std::to_string(index)).unlinkedNodes().size() <= 1 ? 1 : 0;
+        cr_expect_geq(knowing * 20, count * 19, "%zu of %zu", knowing, count);
+    }
+}
+
+// A suspicion repeats what was known of the node, and only the node itself changes it.
+Test(LinkGossip, survivesSuspicion)
+{
+    Fleet fleet(8);
+    fleet.at("3").setUnlinked(true);
+    fleet.run(seconds(4));
+    fleet.setCut("3", true);
+    fleet.run(seconds(3));
+    fleet.setCut("3", false);
+    fleet.run(seconds(4));
+    for (const char* name : { "0", "1", "2", "4" })
+        cr_expect_eq(fleet.at(name).unlinkedNodes().size(), 1, "%s", name);
+}
--- a/src/http/tests/servertests.cpp
+++ b/src/http/tests/servertests.cpp
@@ -438,3 +438,78 @@
     cr_expect_not(exchanges[1].isFirst);
     cr_expect(exchanges[1].roundTrip && *exchanges[1].roundTrip > std::chrono::microseconds::zero());
 }
+
+// Load pattern: clients that send nothing take all connections.
+Test(HttpServer, closesLongestWaitingConnectionForANewOne)
+{
+    runtime::FiberThread thread("test");
+    thread.call([&] {
+        ServerLimits limits;
+        limits.connections = 3;
+        Server server(thread.io(), limits, echo);
+        server.listen(AnyPort);
+        std::vector<boost::asio::ip::tcp::socket> silent;
+        for (int client = 0; client < 10; ++client) {
+            silent.emplace_back(thread.io());
+            boost::system::error_code error;
+            silent.back().async_connect(server.localEndpoint(), useFiber[error]);
+        }
+        const auto response
+            = fetch(thread.io(), server.localEndpoint(), makeRequest(verb::get, "/a"), std::chrono::seconds(5));
+        cr_assert(response.has_value());
+        cr_expect_eq(response->body(), "/a");
+        cr_expect_geq(server.counters().evictedConnections, 7);
+        cr_expect_leq(server.counters().open, 4);
+        return 0;
+    });
+}
+
+// Load pattern: trailers without end behind a chunked body.
+Test(HttpServer, refusesTrailersBeyondTheHeaderLimit)
+{
+    runtime::FiberThread thread("test");
+    thread.call([&] {
+        bool wasHandled = false;
+        Server server(thread.io(), {}, [&](const Request& request, Exchange& exchange) {
+            wasHandled = true;
+            return echo(request, exchange);
+        });
+        server.listen(AnyPort);
+        std::string bytes = "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n";
+        while (bytes.size() < 64 * 1024)
+            bytes += "x-field: " + std::string(500, 'a') + "\r\n";
+        sendBytes(thread.io(), server.localEndpoint(), bytes);
+        cr_expect(!wasHandled);
+        cr_expect_eq(server.counters().oversizedRequests, 1);
+        return 0;
+    });
+}
+
+// Load pattern: bodies that stop just short of their end, until the budget of the process is spent.
+Test(HttpServer, refusesUnfinishedRequestThatHasToGiveWay)
+{
+    runtime::FiberThread thread("test");
+    thread.call([&] {
+        std::function<void()> evict;
+        std::size_t held = 0;
+        Server server(thread.io(), {}, echo, [&](std::function<void()> hook) {
+            evict = std::move(hook);
+            return ByteCharge { [&](std::size_t bytes) { held = bytes; }, [](bool) {} };
+        });
+        server.listen(AnyPort);
+        boost::asio::ip::tcp::socket socket(thread.io());
+        boost::system::error_code error;
+        socket.async_connect(server.localEndpoint(), useFiber[error]);
+        const std::string start = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\nabc";
+        boost::asio::async_write(socket, boost::asio::buffer(start), useFiber[error]);
+        for (int round = 0; round < 100 && held < 100'000; ++round)
+            runtime::sleepFor(thread.io(), std::chrono::milliseconds(10));
+        cr_expect_geq(held, 100'000, "the body of stated length counts");
+        evict();
+        char reply[512];
+        const std::size_t size = socket.async_read_some(boost::asio::buffer(reply), useFiber[error]);
+        cr_expect_eq(std::string(reply, size).substr(0, 12), "HTTP/1.1 503");
+        cr_expect_eq(server.counters().requests, 0);
+        return 0;
+    });
+}
--- a/src/wire/tests/codectests.cpp
+++ b/src/wire/tests/codectests.cpp
@@ -24,7 +24,7 @@
 
 Test(Codec, roundTripsFleetMessages)
 {
-    fleet::Gossip gossip { { { Node, fleet::MemberState::Suspect, 3 } },
+    fleet::Gossip gossip { { { Node, fleet::MemberState::Suspect, 3, true } },
         { { { 9, 2, 1, "u" }, std::chrono::milliseconds(1'500) } }, { 4, 5 } };
     expectRoundTrip(fleet::FleetMessage(fleet::Ping { 1, Node, { "x", 2 }, gossip }));
     expectRoundTrip(fleet::FleetMessage(fleet::Ack { 1, Node, gossip }));
