Let the soak evacuate availability zones

Cause: no promise of the soak covered evacuations. Change: the fault plan evacuates one of the two zones for 4 to 9 s, again and again, from a draw of its own, and a promise says that no request reaches an upstream of an evacuated zone later than 5 s after the order from an undisturbed VM. A test shows it able to fail.

--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -118,9 +118,28 @@
     const http::Endpoint published = endpoint(UpstreamGroup, index, UpstreamPort);
     throwIfFailed(upstream.proxy->listen(published), published);
     upstreams_.push_back(std::move(upstream));
+    if (zone == evacuatedZone_)
+        promises_.onEvacuated(upstreams_.back().entry.id, now_());
     list(index);
 }
 
+void Deployment::evacuate(const std::string& zone)
+{
+    evacuatedZone_ = zone;
+    store_.put(platform::evacuationKey(zone), "{}");
+    for (const Upstream& upstream : upstreams_) {
+        if (upstream.entry.zone == zone)
+            promises_.onEvacuated(upstream.entry.id, now_());
+    }
+}
+
+void Deployment::endEvacuation()
+{
+    for (const Upstream& upstream : upstreams_)
+        promises_.onEvacuationEnded(upstream.entry.id);
+    store_.erase(platform::evacuationKey(std::exchange(evacuatedZone_, {})));
+}
+
 void Deployment::publishNext()
 {
     routing::Configuration configuration;
--- a/soak/deployment.h
+++ b/soak/deployment.h
@@ -44,6 +44,10 @@
     void list(std::size_t upstream);
     void unlist(std::size_t upstream);
 
+    // Takes an availability zone out of service, and takes the order back.
+    void evacuate(const std::string& zone);
+    void endEvacuation();
+
     // Replaces a removed upstream by one of the same service with a new ID.
     void replace(std::size_t upstream);
 
@@ -69,6 +73,7 @@
     std::vector<std::unique_ptr<Proxy>> callerProxies_;
     std::vector<std::unique_ptr<VmProcess>> vms_;
     std::uint64_t version_ { 0 };
+    std::string evacuatedZone_; // empty: none
 };
 
 } // namespace flamingousher::soak
--- a/soak/faultplan.cpp
+++ b/soak/faultplan.cpp
@@ -33,6 +33,7 @@
     , promises_(promises)
     , now_(std::move(now))
     , draw_(seed)
+    , evacuationDraw_(~seed)
     , isStopping_(deployment.vmCount())
 {
 }
@@ -56,6 +57,7 @@
     const TimePoint until = now_() + time;
     spawn([this, until] { restartExitedVms(until); });
     spawn([this, until] { runPlannedWork(until); });
+    spawn([this, until] { runEvacuations(until); });
     while (now_() < until) {
         runtime::sleepFor(io_, CalmPhase);
         for (const TimePoint end = now_() + FaultPhase; now_() < end && now_() < until;) {
@@ -85,6 +87,17 @@
     }
 }
 
+// Evacuations last longer than the time within which they must be obeyed.
+void FaultPlan::runEvacuations(TimePoint until)
+{
+    while (now_() < until) {
+        runtime::sleepFor(io_, evacuationDraw_.time(1'000, 6'000));
+        deployment_.evacuate(evacuationDraw_.below(2) == 0 ? "a" : "b");
+        runtime::sleepFor(io_, evacuationDraw_.time(4'000, 9'000));
+        deployment_.endEvacuation();
+    }
+}
+
 void FaultPlan::runPlannedWork(TimePoint until)
 {
     while (now_() < until) {
--- a/soak/faultplan.h
+++ b/soak/faultplan.h
@@ -19,6 +19,7 @@
     void injectFault();
     void performPlannedWork();
     void runPlannedWork(TimePoint until);
+    void runEvacuations(TimePoint until);
     void restoreAll();
 
     void killVm(std::size_t vm);
@@ -47,6 +48,7 @@
     Promises& promises_;
     std::function<TimePoint()> now_;
     Draw draw_;
+    Draw evacuationDraw_; // of its own, so that the other draws of earlier seeds stay what they were
     std::size_t running_ { 0 };
     std::vector<bool> isStopping_; // VMs in a planned stop
     bool isDraining_ { false };
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -38,6 +38,16 @@
     draining_.emplace(upstream, at);
 }
 
+void Promises::onEvacuated(const std::string& upstream, TimePoint at)
+{
+    evacuated_.emplace(upstream, at);
+}
+
+void Promises::onEvacuationEnded(const std::string& upstream)
+{
+    evacuated_.erase(upstream);
+}
+
 void Promises::onDisturbance(std::size_t vm, TimePoint from, TimePoint to)
 {
     disturbances_[vm].push_back({ from, to });
@@ -139,11 +149,22 @@
         return;
     }
     found->second.hasReachedUpstream = true;
-    const auto drained = draining_.find(upstream);
-    if (drained != draining_.end() && at > drained->second + bounds_.draining
-        && isUndisturbed(found->second.sent.vm, drained->second, at)
-        && !overlaps(disturbedPaths_[upstream], drained->second, at))
+    if (isUnwanted(draining_, bounds_.draining, upstream, found->second, at))
         report("drain", found->second, "reached " + upstream + " after its drain had begun");
+    if (isUnwanted(evacuated_, bounds_.evacuation, upstream, found->second, at))
+        report("evacuation", found->second, "reached " + upstream + " after its zone had been evacuated");
+}
+
+// Returns whether an undisturbed VM must have known by then that the upstream wants no requests.
+bool Promises::isUnwanted(const std::map<std::string, TimePoint>& since, base::Duration bound,
+    const std::string& upstream, const Request& request, TimePoint at) const
+{
+    const auto found = since.find(upstream);
+    if (found == since.end() || at <= found->second + bound)
+        return false;
+    const auto path = disturbedPaths_.find(upstream);
+    return isUndisturbed(request.sent.vm, found->second, at)
+        && (path == disturbedPaths_.end() || !overlaps(path->second, found->second, at));
 }
 
 void Promises::onRun(const std::string& id)
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -13,6 +13,7 @@
     base::Duration settlingTime { std::chrono::milliseconds(4'000) }; // until a VM counts as undisturbed after a fault
     base::Duration configuration { std::chrono::milliseconds(3'000) }; // until an accepted version must be in force
     base::Duration draining { std::chrono::milliseconds(3'000) }; // until a draining upstream must get no new work
+    base::Duration evacuation { std::chrono::milliseconds(5'000) }; // until one of an evacuated zone must get none
     base::Duration reorderTolerance { std::chrono::milliseconds(
         250) }; // answers of one VM may be reordered within this time
     base::Duration deadlineTolerance { std::chrono::milliseconds(500) }; // allowed excess over the timeout of a request
@@ -31,6 +32,8 @@
     // Actions of the harness.
     void onPublished(const PublishedConfiguration&);
     void onDraining(const std::string& upstream, TimePoint at);
+    void onEvacuated(const std::string& upstream, TimePoint at);
+    void onEvacuationEnded(const std::string& upstream);
     void onDisturbance(std::size_t vm, TimePoint from, TimePoint to);
     void onGlobalDisturbance(TimePoint from, TimePoint to);
     void onPlannedStop(
@@ -69,6 +72,8 @@
 
     bool overlaps(const std::vector<Span>&, TimePoint from, TimePoint to) const;
     bool isUndisturbed(std::size_t vm, TimePoint from, TimePoint to, PlannedStops = PlannedStops::Included) const;
+    bool isUnwanted(const std::map<std::string, TimePoint>& since, base::Duration bound, const std::string& upstream,
+        const Request&, TimePoint at) const;
     void checkFanoutAnswer(const Request&, const ReceivedAnswer&);
     void checkVersion(const Request&, const PublishedConfiguration&);
     void checkSingleAnswer(const Request&, const ReceivedAnswer&);
@@ -80,6 +85,7 @@
     MakeRecords makeRecords_;
     std::vector<PublishedConfiguration> published_; // oldest first
     std::map<std::string, TimePoint> draining_;
+    std::map<std::string, TimePoint> evacuated_; // upstreams of evacuated zones
     std::map<std::size_t, std::vector<Span>> disturbances_; // by VM
     std::map<std::size_t, std::vector<Span>> plannedStops_; // by VM
     std::map<std::string, std::vector<Span>> disturbedPaths_; // by upstream
--- a/soak/tests/promisestests.cpp
+++ b/soak/tests/promisestests.cpp
@@ -138,6 +138,23 @@
     cr_assert(disturbed.promises.violations().empty(), "the disturbed VM may not know of the drain yet");
 }
 
+Test(Promises, detectsWorkForUpstreamsOfEvacuatedZones)
+{
+    Harness harness;
+    harness.promises.onEvacuated("b0-0", Start + milliseconds(4'000));
+    harness.promises.onEvacuated("b1-0", Start + milliseconds(6'000));
+    harness.promises.onArrived("b1-0", "q", Start + milliseconds(10'010));
+    cr_assert(harness.promises.violations().empty(), "within the bound");
+    harness.promises.onArrived("b0-0", "q", Start + milliseconds(10'010));
+    cr_assert(harness.violatesOnly("evacuation"));
+
+    Harness takenBack;
+    takenBack.promises.onEvacuated("b0-0", Start + milliseconds(4'000));
+    takenBack.promises.onEvacuationEnded("b0-0");
+    takenBack.promises.onArrived("b0-0", "q", Start + milliseconds(10'010));
+    cr_assert(takenBack.promises.violations().empty());
+}
+
 Test(Promises, detectsLostConnection)
 {
     Harness harness;
