Check a configuration before it is sent

Cause: operators of a store had no way to see faults of a configuration, or what it changes, before the store had it. Not checked: attempts without a budget, which the configuration does not state.

--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -23,6 +23,12 @@
 
 ExitCode checkTables(const std::string& routesFile, const std::string& poolsFile);
 ExitCode diffTables(const std::vector<std::string>& files);
+
+// Checks a configuration for a store before it is sent. Where inForce is set, compares it with that file; otherwise,
+// where operators are asked, with what they have in force. vmSettings: settings file of a VM, for its memory and
+// regions. Both may be empty.
+ExitCode checkStoreConfiguration(const Options&, const std::string& file, const std::string& inForce,
+    const std::string& vmSettings, bool asksOperators);
 ExitCode showState(const Options&);
 ExitCode showTop(const Options&);
 ExitCode explainRequest(const Options&, const std::string& requestId);
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -12,6 +12,8 @@
 DEFINE_uint64(wait, 0, "With 'config status': wait until this revision is in force on every node.");
 DEFINE_uint32(timeout_ms, 5000, "Time limit of a call and of --wait.");
 DEFINE_uint32(rounds, 0, "With 'top': seconds to show; 0 until interrupted.");
+DEFINE_string(in_force, "", "With 'check-config': file with the configuration in force.");
+DEFINE_string(vm_settings, "", "With 'check-config': settings file of a VM, for its memory and regions.");
 DEFINE_string(platform, "127.0.0.1:7000", "With 'publish': address:port of a configuration service stand-in.");
 
 namespace {
@@ -25,6 +27,8 @@
 Tables, without a running process:
   check ROUTES POOLS                        validate both tables and list all faults
   diff ROUTES POOLS NEW_ROUTES NEW_POOLS    list what an edit would change
+Configurations for a metadata store:
+  check-config FILE                         list faults, and what differs from the version in force
 Running processes:
   state                                     dump the state of each process
   top                                       show requests per second by rank and outcome
@@ -40,6 +44,9 @@
   --wait REVISION       config status: wait until the revision is in force on every queried node
   --timeout_ms N        time limit of a call and of --wait (default 5000)
   --rounds N            top: seconds to show (default 0: until interrupted)
+  --in_force FILE       check-config: compare with this file; without it, if --operators is given, with what the first
+                        process that answers has in force, and check its upstreams
+  --vm_settings FILE    check-config: settings of a VM, for its memory and regions
   --platform A:P        publish: where to write (default 127.0.0.1:7000)
   --help, --version     print this text or the version
 
@@ -62,6 +69,10 @@
         return checkTables(arguments[1], arguments[2]);
     if (command == "diff" && arguments.size() == 5)
         return diffTables({ arguments.begin() + 1, arguments.end() });
+    if (command == "check-config" && arguments.size() == 2) {
+        const bool asksOperators = !gflags::GetCommandLineFlagInfoOrDie("operators").is_default;
+        return checkStoreConfiguration(options, arguments[1], FLAGS_in_force, FLAGS_vm_settings, asksOperators);
+    }
     if (command == "state" && arguments.size() == 1)
         return showState(options);
     if (command == "top" && arguments.size() == 1)
