Keep a VM's parts of the upstreams in a class of their own

Change: UpstreamShares, without I/O, has these decisions and what they rest on; Directory applies them. The number of users of a service needs no hash. No change of behaviour.

--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -20,52 +20,19 @@
     // to other zones.
     constexpr double CrossZoneFactor = 1.4;
 
-    // Per upstream. More connections are of no use, since an upstream has far fewer slots.
-    constexpr std::size_t MaxConnections = 12;
-
-    // Fraction of an upstream's connection limit that is kept open in advance. After a power failure of all VMs, the
-    // upstreams still count the old connections until these time out, so the limit must fit the same number again.
-    constexpr double WarmFraction = 0.5;
-
-    // Most requests stay in the zone; hedges leave it.
-    constexpr std::size_t WarmSameZoneConnections = 2;
-    constexpr std::size_t WarmCrossZoneConnections = 1;
-
     // Added for upstreams whose connections are all allocated to other VMs: they are used only if the other upstreams
     // of the service are much slower.
     constexpr base::Duration StandbyPenalty = std::chrono::milliseconds(30);
 
-    // Fraction of a sharded service's connections, and of the requests that its upstreams take, that is allotted to the
-    // VMs that run requests over many shards. The rest is for VMs that delegate these requests and have to run some of
-    // them themselves.
-    constexpr double ExecutorFraction = 0.7;
-
-    // Connections to each upstream of a sharded service from a VM that delegates.
-    constexpr std::size_t DelegatingVmConnections = 1;
-
-    // Restarts of delegated requests per retry window and VM. Each one costs an extra attempt at every shard.
-    constexpr double RestartsPerVm = 1;
-
     // A store that lags may list an upstream long after it has said that it leaves.
     constexpr base::Duration LeftRetention = std::chrono::minutes(10);
 
     // A stated warm-up time that shifts by less is the same one.
     constexpr base::Duration WarmUpShift = std::chrono::milliseconds(500);
 
-    // An upstream is kept busy while its responses are on their way and the next requests come.
-    constexpr double InitialOvercommit = 1.5;
-
-    // Two queries that arrive at a VM together do not wait for each other.
-    constexpr double MinInitialLimit = 2;
-
     // Requests per second assumed where all upstreams are limited to none.
     constexpr double MinQueueRate = 0.1;
 
-    constexpr std::uint32_t DefaultMaxConnections = 24; // for services missing from the configuration
-
-    // Connections per upstream that are not allocated, for VMs that join or are being replaced.
-    constexpr std::uint32_t ReservedConnections = 2;
-
     constexpr std::size_t DispatchScanDepth = 16; // waiting sub-requests tried when a connection becomes free
 
     void addCounters(PoolCounters& sum, const PoolCounters& counters)
@@ -94,7 +61,7 @@
     , memory_(memory)
     , log_(log)
     , now_(std::move(now))
-    , maxVmsSeen_(settings.assumedVmCount)
+    , shares_(settings_)
     , selector_({ [this](UpstreamId id) { return hasCapacity(id); }, [this](UpstreamId id) { return isReachable(id); },
           [this](UpstreamId id) { upstreams_[id].concurrency.onWaiting(); } })
 {
@@ -106,7 +73,7 @@
     if (!state) {
         state = std::make_shared<ServiceState>();
         state->name = name;
-        state->budget.setSettings(budgetSettings(name));
+        state->budget.setSettings(shares_.budgetSettings(name));
     }
     return state;
 }
@@ -127,7 +94,7 @@
             const bool isColdAgain = discovered.warmUpUntil > pooled.upstream.warmUpUntil;
             pooled.upstream = discovered;
             if (isColdAgain)
-                updateWarmUp(found->second);
+                applyWarmUp(found->second, connectionLimits(found->second));
             listed.emplace(discovered.entry.id, found->second);
             continue;
         }
@@ -146,20 +113,19 @@
 UpstreamId Directory::add(const discovery::DiscoveredUpstream& discovered)
 {
     const auto id = static_cast<UpstreamId>(upstreams_.size());
-    const ConnectionLimits limits = computeLimits(discovered.entry);
+    const ConnectionLimits limits = shares_.connectionLimits(discovered.entry);
     const auto pool = std::make_shared<ConnectionPool>(
         io_, poolSettings(discovered.entry, limits), protocol_, poolHooks(id, discovered.entry.service));
     upstreams_.push_back({ discovered, pool, {} });
     inheritNotices(id);
-    upstreams_[id].pacer.setShare(requestShare(discovered.entry.service), now_());
     openPoolIds_.push_back(id);
-    updateWarmUp(id);
+    applyShares(id, limits);
     if (discovered.entry.isDraining || hasLeft(discovered.entry)) {
         retire(id);
         return id;
     }
     service(discovered.entry.service)->upstreams.push_back(id);
-    if (configured_.contains(discovered.entry.service))
+    if (shares_.isConfigured(discovered.entry.service))
         pool->keepWarm();
     return id;
 }
@@ -274,7 +240,7 @@
         log_.writeDecision("upstream_cold",
             { { "upstream", entry(id).id }, { "service", entry(id).service },
                 { "warm_up_ms", eventlog::milliseconds(warmUpUntil - now_()) } });
-    updateWarmUp(id);
+    applyWarmUp(id, connectionLimits(id));
 }
 
 void Directory::onLeaving(UpstreamId id)
@@ -285,19 +251,6 @@
     retire(id);
 }
 
-// Like the connections, what the upstreams of a sharded service take is divided among the VMs that run requests over
-// many shards, but for a part for the others.
-double Directory::requestShare(const std::string& service) const
-{
-    if (vms_.empty())
-        return 1.0 / static_cast<double>(settings_.assumedVmCount);
-    if (!isDelegationUsed() || !isSharded(service))
-        return 1.0 / static_cast<double>(vms_.size());
-    const auto executors = static_cast<double>(plan_.executors.size());
-    return plan_.isDelegatingFanouts ? (1 - ExecutorFraction) / (static_cast<double>(vms_.size()) - executors)
-                                     : ExecutorFraction / executors;
-}
-
 balancing::ReplicaSelector::Distance Directory::distance(
     const discovery::UpstreamEntry& entry, const ConnectionLimits& limits) const
 {
@@ -316,64 +269,18 @@
     return region == settings_.regions.end() ? std::string() : region->second;
 }
 
-fleet::ConnectionAllotment Directory::allotment(const discovery::UpstreamEntry& entry) const
-{
-    return { isLimitedToExecutors(entry.service) ? plan_.executors : vms_, self_, entry.id, entry.zone };
-}
-
-// A VM that does not know the others, or leaves the service to them, sends nothing to a cold upstream.
-std::optional<balancing::WarmUpPace> Directory::warmUpPace(const discovery::UpstreamEntry& entry) const
-{
-    const auto found = configured_.find(entry.service);
-    const balancing::WarmUpBound bound { found == configured_.end() ? 0 : found->second.warmUpRate,
-        settings_.warmUpFactor, settings_.warmUpSlack };
-    if (!bound.isStated())
-        return std::nullopt;
-    const bool leavesServiceToOthers = isLimitedToExecutors(entry.service) && plan_.isDelegatingFanouts;
-    if (vms_.empty() || leavesServiceToOthers)
-        return balancing::computeWarmUpPace(bound, settings_.assumedVmCount, settings_.assumedVmCount);
-    const fleet::ConnectionAllotment order = allotment(entry);
-    return balancing::computeWarmUpPace(bound, order.position(), order.vmCount());
-}
-
-// At its minimum each VM uses an equal part of the slots, so that all of them together fill the upstream.
-balancing::ConcurrencyBounds Directory::concurrencyBounds(
-    const discovery::UpstreamEntry& entry, const ConnectionLimits& limits) const
+void Directory::applyShares(UpstreamId id, const ConnectionLimits& limits)
 {
-    const double max = std::max(1.0, static_cast<double>(limits.max));
-    const double equalPart
-        = entry.slots / static_cast<double>(vms_.empty() ? settings_.assumedVmCount : allotment(entry).vmCount());
-    return { std::min(equalPart, max), std::clamp(equalPart * InitialOvercommit, std::min(MinInitialLimit, max), max),
-        max };
+    upstreams_[id].pacer.setShare(shares_.requestShare(entry(id).service), now_());
+    upstreams_[id].concurrency.setBounds(shares_.concurrencyBounds(entry(id), limits));
+    applyWarmUp(id, limits);
 }
 
-void Directory::updateWarmUp(UpstreamId id)
+void Directory::applyWarmUp(UpstreamId id, const ConnectionLimits& limits)
 {
-    const PooledUpstream& pooled = upstreams_[id];
-    const ConnectionLimits limits = computeLimits(pooled.upstream.entry);
-    selector_.setUpstream(id, distance(pooled.upstream.entry, limits), pooled.upstream.warmUpUntil);
-    upstreams_[id].concurrency.setBounds(concurrencyBounds(pooled.upstream.entry, limits));
-    upstreams_[id].pacer.setWarmUp(pooled.upstream.warmUpUntil, warmUpPace(pooled.upstream.entry), now_());
-}
-
-Directory::ConnectionLimits Directory::computeLimits(const discovery::UpstreamEntry& entry) const
-{
-    const auto found = configured_.find(entry.service);
-    const std::uint32_t maxConnections
-        = found == configured_.end() ? DefaultMaxConnections : found->second.maxConnections;
-    std::uint32_t allocatable
-        = maxConnections > ReservedConnections ? maxConnections - ReservedConnections : maxConnections;
-    // No connections are opened in advance until it is known how many VMs share the upstream.
-    if (vms_.empty())
-        return { std::clamp<std::size_t>(allocatable / settings_.assumedVmCount, 1, MaxConnections), 0 };
-    if (isLimitedToExecutors(entry.service) && plan_.isDelegatingFanouts)
-        return { DelegatingVmConnections, 0 };
-    if (isLimitedToExecutors(entry.service))
-        allocatable = static_cast<std::uint32_t>(allocatable * ExecutorFraction);
-    const fleet::ConnectionAllotment allocation = allotment(entry);
-    const std::size_t maxWarm = entry.zone == settings_.zone ? WarmSameZoneConnections : WarmCrossZoneConnections;
-    return { std::min(allocation.shareOf(allocatable), MaxConnections),
-        std::min(allocation.shareOf(static_cast<std::size_t>(allocatable * WarmFraction)), maxWarm) };
+    const base::TimePoint warmUpUntil = upstreams_[id].upstream.warmUpUntil;
+    selector_.setUpstream(id, distance(entry(id), limits), warmUpUntil);
+    upstreams_[id].pacer.setWarmUp(warmUpUntil, shares_.warmUpPace(entry(id)), now_());
 }
 
 upstreamclient::PoolSettings Directory::poolSettings(
@@ -384,95 +291,41 @@
     return { entry.id, endpoint.value_or(http::Endpoint {}), std::max<std::size_t>(1, limits.max), limits.warm };
 }
 
-// The slack of a sharded service is divided into one restart for each VM that delegates, and equal parts of the rest
-// for the executors.
-balancing::RetryBudgetSettings Directory::budgetSettings(const std::string& service) const
-{
-    if (!isDelegationUsed() || !isSharded(service))
-        return { settings_.retryRatio, settings_.retrySlack / static_cast<double>(maxVmsSeen_), settings_.retryWindow };
-    if (plan_.isDelegatingFanouts)
-        return { settings_.retryRatio, 0, settings_.retryWindow };
-    const double restarts = restartSettings().slack * static_cast<double>(vms_.size() - plan_.executors.size());
-    return { settings_.retryRatio, (settings_.retrySlack - restarts) / static_cast<double>(plan_.executors.size()),
-        settings_.retryWindow };
-}
-
-// There are no restarts if they would leave the executors less than half of the slack.
-balancing::RetryBudgetSettings Directory::restartSettings() const
-{
-    const auto delegatingVms = static_cast<double>(vms_.size() - plan_.executors.size());
-    const bool areAffordable = delegatingVms * RestartsPerVm <= settings_.retrySlack / 2;
-    return { 0, areAffordable ? RestartsPerVm : 0, settings_.retryWindow };
-}
-
-delegation::DelegationPlan Directory::makePlan(const std::vector<fleet::NodeInfo>& vms) const
+std::set<std::string> Directory::shardedZones() const
 {
     std::set<std::string> zones;
-    for (const std::string& name : shardedServices_) {
+    for (const std::string& name : shares_.shardedServices()) {
         if (const auto found = services_.find(name); found != services_.end()) {
             for (UpstreamId id : found->second->upstreams)
                 zones.insert(entry(id).zone);
         }
     }
-    return vms.empty() ? delegation::DelegationPlan {} : delegation::makeDelegationPlan(vms, self_, zones, unlinked_);
-}
-
-void Directory::updatePlan()
-{
-    plan_ = makePlan(vms_);
-    restarts_.setSettings(restartSettings());
+    return zones;
 }
 
 void Directory::applyConfiguration(const routing::RouteTable& routes)
 {
-    std::map<std::string, routing::Service> configured;
-    std::set<std::string> shardedServices;
-    for (const routing::Route& route : routes.configuration().routes)
-        shardedServices.insert(route.shards.begin(), route.shards.end());
-    for (const routing::Service& service : routes.configuration().services)
-        configured[service.name] = service;
-    // Most configuration changes concern routes only, and allocating connections takes time proportional to the number
-    // of VMs for each upstream.
-    if (configured == configured_ && shardedServices == shardedServices_)
-        return;
-    configured_ = std::move(configured);
-    shardedServices_ = std::move(shardedServices);
-    updatePlan();
-    refreshLimits();
-}
-
-void Directory::setFirstMembers(const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self)
-{
-    if (!vms_.empty())
-        return;
-    firstMembers_ = vms;
-    self_ = self;
-}
-
-delegation::DelegationPlan Directory::currentPlan() const
-{
-    return makePlan(vms_.empty() ? firstMembers_ : vms_);
+    if (shares_.setConfiguration(routes))
+        refreshShares();
 }
 
 void Directory::setFleet(const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self)
 {
-    vms_ = vms;
-    self_ = self;
-    maxVmsSeen_ = std::max(maxVmsSeen_, vms.size());
-    updatePlan();
-    refreshLimits();
+    shares_.setFleet(vms, self);
+    refreshShares();
 }
 
-void Directory::refreshLimits()
+void Directory::refreshShares()
 {
+    shares_.updatePlan(shardedZones());
+    restarts_.setSettings(shares_.restartSettings());
     for (const auto& [name, state] : services_) {
-        state->budget.setSettings(budgetSettings(name));
+        state->budget.setSettings(shares_.budgetSettings(name));
         for (UpstreamId id : state->upstreams) {
-            const ConnectionLimits limits = computeLimits(entry(id));
+            const ConnectionLimits limits = shares_.connectionLimits(entry(id));
             upstreams_[id].pool->setSettings(poolSettings(entry(id), limits));
-            upstreams_[id].pacer.setShare(requestShare(name), now_());
-            updateWarmUp(id);
-            if (configured_.contains(name))
+            applyShares(id, limits);
+            if (shares_.isConfigured(name))
                 upstreams_[id].pool->keepWarm();
         }
     }
--- a/src/entry/internal/directory.h
+++ b/src/entry/internal/directory.h
@@ -13,6 +13,7 @@
 #include "balancing/waitqueue.h"
 #include "delegation/delegationplan.h"
 #include "discovery/types.h"
+#include "entry/internal/upstreamshares.h"
 #include "entry/types.h"
 #include "eventlog/eventlog.h"
 #include "fleet/connectionallotment.h"
@@ -66,17 +67,19 @@
     void setFleet(const std::vector<fleet::NodeInfo>&, const fleet::NodeInfo& self);
 
     // Sets the VMs that reach almost no upstream. They are no delegates while there are others.
-    void setUnlinked(std::vector<fleet::NodeId> vms) { unlinked_ = std::move(vms); }
+    void setUnlinked(std::vector<fleet::NodeId> vms) { shares_.setUnlinked(std::move(vms)); }
 
     // Called when this VM has lost almost all links to upstreams, or has them again. May be empty.
     std::function<void(bool areLost)> onLinksChanged;
 
-    // Returns which VMs run requests of others. Until the fleet is known, they are chosen from the first members: a
-    // small VM would take too long to open connections to all shards itself.
-    delegation::DelegationPlan currentPlan() const;
+    // Returns which VMs run requests of others.
+    delegation::DelegationPlan currentPlan() const { return shares_.currentPlan(shardedZones()); }
 
     // Sets the members known before the view of the fleet has settled. No effect once setFleet() has been called.
-    void setFirstMembers(const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self);
+    void setFirstMembers(const std::vector<fleet::NodeInfo>& vms, const fleet::NodeInfo& self)
+    {
+        shares_.setFirstMembers(vms, self);
+    }
 
     // Consumes one restart of a request that a delegate may have started. Returns false if there is none left.
     bool tryAcquireRestart() { return restarts_.tryAcquire(balancing::ExtraAttempt::Retry, now_()); }
@@ -137,15 +140,7 @@
 
     const std::map<std::string, UpstreamId>& published() const { return published_; }
 
-    // Limits on the connections of this VM to one upstream.
-    struct ConnectionLimits {
-        std::size_t max { 0 };
-        std::size_t warm { 0 }; // of these, kept open in advance
-
-        bool operator==(const ConnectionLimits&) const = default;
-    };
-
-    ConnectionLimits connectionLimits(UpstreamId id) const { return computeLimits(entry(id)); }
+    ConnectionLimits connectionLimits(UpstreamId id) const { return shares_.connectionLimits(entry(id)); }
 
 private:
     using ProcessKey = std::pair<std::string, std::int64_t>; // identifier and start time of an upstream's process
@@ -158,25 +153,16 @@
     base::Duration pauseTime(UpstreamId) const;
     balancing::ReplicaSelector::Distance distance(const discovery::UpstreamEntry&, const ConnectionLimits&) const;
     upstreamclient::PoolSettings poolSettings(const discovery::UpstreamEntry&, const ConnectionLimits&) const;
-    ConnectionLimits computeLimits(const discovery::UpstreamEntry&) const;
-    balancing::ConcurrencyBounds concurrencyBounds(const discovery::UpstreamEntry&, const ConnectionLimits&) const;
-    balancing::RetryBudgetSettings budgetSettings(const std::string& service) const;
-    balancing::RetryBudgetSettings restartSettings() const;
-    bool isSharded(const std::string& service) const { return shardedServices_.contains(service); }
-    bool isDelegationUsed() const { return plan_.executors.size() < vms_.size(); }
-    delegation::DelegationPlan makePlan(const std::vector<fleet::NodeInfo>& vms) const;
-    void updatePlan();
     upstreamclient::ConnectionPool::Hooks poolHooks(UpstreamId, const std::string& service);
-    void refreshLimits();
+    void refreshShares();
+    std::set<std::string> shardedZones() const;
     void updateLinks();
     bool reachesService(const routing::Route&, const std::string& name) const;
     bool mayRun(const routing::Route&, UpstreamId) const;
     std::string regionOf(const std::string& zone) const;
-    fleet::ConnectionAllotment allotment(const discovery::UpstreamEntry&) const;
-    std::optional<balancing::WarmUpPace> warmUpPace(const discovery::UpstreamEntry&) const;
-    void updateWarmUp(UpstreamId);
+    void applyShares(UpstreamId, const ConnectionLimits&);
+    void applyWarmUp(UpstreamId, const ConnectionLimits&);
     void inheritNotices(UpstreamId);
-    bool isLimitedToExecutors(const std::string& service) const { return isDelegationUsed() && isSharded(service); }
     bool hasCapacity(UpstreamId) const;
     bool isReachable(UpstreamId) const;
     void onNotice(UpstreamId, const balancing::UpstreamNotice&);
@@ -184,7 +170,6 @@
     void onWarmUpNotice(UpstreamId, base::TimePoint warmUpUntil);
     balancing::MemoryBudget::Charge openCharge(UpstreamId, std::function<void()> evict);
     bool hasLeft(const discovery::UpstreamEntry& entry) const { return left_.contains({ entry.id, entry.startedAt }); }
-    double requestShare(const std::string& service) const;
 
     boost::asio::io_context& io_;
     EntrySettings settings_;
@@ -192,14 +177,8 @@
     balancing::MemoryBudget& memory_;
     eventlog::EventLog& log_;
     std::function<base::TimePoint()> now_;
-    std::vector<fleet::NodeInfo> vms_; // empty until the fleet is known
-    std::vector<fleet::NodeInfo> firstMembers_; // used until then
-    fleet::NodeInfo self_;
-    std::vector<fleet::NodeId> unlinked_;
-    delegation::DelegationPlan plan_;
-    std::set<std::string> shardedServices_; // services that are shards of a route
     balancing::RetryBudget restarts_;
-    std::size_t maxVmsSeen_; // max fleet size so far: extra attempts of VMs that have left still count
+    UpstreamShares shares_;
     std::vector<PooledUpstream> upstreams_; // by UpstreamId; identifiers are not reused
     std::vector<UpstreamId> openPoolIds_; // pools to sweep: all but retired ones without connections
 
@@ -210,7 +189,6 @@
     std::map<ProcessKey, UpstreamId> idsByProcess_;
     std::map<std::string, UpstreamId> published_; // by the identifier in the published entry
     std::map<std::string, std::shared_ptr<ServiceState>> services_;
-    std::map<std::string, routing::Service> configured_; // services of the configuration, by name
     balancing::ReplicaSelector selector_;
     balancing::LinkMonitor links_;
     balancing::WaitQueue::Key lastKey_ { 0 };
