Word comments plainly, and keep the store's paths in platform/

Cause: figurative words in comments; flamingousherctl built a path of the store. Change: wording; makeRangeTarget serves the daemon and the tool. No change of behaviour.

--- a/src/balancing/returnschedule.cpp
+++ b/src/balancing/returnschedule.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-    // What a caller that waits as told has lost of its time limit at least.
+    // A caller that waits until its place has lost at least this much of its time limit.
     constexpr base::Duration MinWait = std::chrono::milliseconds(60);
 
     // Callers with a longer limit than all others may have left.
--- a/src/balancing/returnschedule.h
+++ b/src/balancing/returnschedule.h
@@ -8,7 +8,7 @@
 namespace flamingousher::balancing {
 
 // Gives each refused caller a time to come back.
-// Load pattern: a burst beyond capacity for seconds. Callers that are all told the same delay come back together, and
+// Load pattern: a burst beyond capacity for seconds. Callers that get the same delay come back together, and
 // most are refused again; callers wait a part of the time that they have left, and come back once.
 class ReturnSchedule {
 public:
@@ -23,8 +23,8 @@
     std::array<base::TimePoint, PriorityCount> nextPlaces_ {};
 };
 
-// Tells callers that come back after a refusal from new ones, by the time that they have left. Needs nothing from the
-// VM that refused them, which may be another one or gone.
+// Distinguishes callers that come back after a refusal from new ones, by the time that they have left. Needs nothing
+// from the VM that refused them, which may be another one or gone.
 class ReturnDetector {
 public:
     // Returns whether a request with this time limit comes back after having waited. One that is repeated at once
--- a/src/control/fleetmember.h
+++ b/src/control/fleetmember.h
@@ -49,7 +49,7 @@
     // Tells the other VMs of a request that crashes upstreams, a few of them at once.
     void reportCrash(const quarantine::CrashRecord&);
 
-    // Tells the other VMs, a few of them at once, that this one reaches almost no upstream, or does again.
+    // Announces to the other VMs, to a few of them at once, that this one reaches almost no upstream, or does again.
     void setUnlinked(bool);
 
     // Announces to the other VMs that this VM is shutting down.
--- a/src/ctl/configcommand.cpp
+++ b/src/ctl/configcommand.cpp
@@ -3,6 +3,7 @@
 #include "http/client.h"
 #include "platform/decode.h"
 #include "platform/names.h"
+#include "platform/storeclient.h"
 #include "runtime/fiberthread.h"
 #include "settings/vmsettings.h"
 
@@ -67,8 +68,7 @@
             }
             std::vector<platform::StoreItem> items;
             for (std::string after;;) {
-                const std::string target
-                    = "/v1/kv-range?prefix=" + http::encodeParameter(prefix) + "&after=" + http::encodeParameter(after);
+                const std::string target = platform::makeRangeTarget(prefix, after);
                 const http::Request request = http::makeRequest(boost::beast::http::verb::get, target);
                 const std::chrono::milliseconds timeout(options_.timeoutMs);
                 const auto response
--- a/src/entry/entrythread.h
+++ b/src/entry/entrythread.h
@@ -22,7 +22,7 @@
 public:
     // writeLog: writes one log line, given as the members of a JSON object; must not block.
     // reportCrash: tells the other VMs of a request that crashes upstreams; called on this thread. May be empty.
-    // reportLinks: tells them that this VM has lost almost all links to upstreams, or has them again. May be empty.
+    // reportLinks: called when this VM has lost almost all links to upstreams, or has them again. May be empty.
     EntryThread(const EntrySettings&, const CallerProtocol&, const upstreamclient::UpstreamProtocol&,
         std::function<void(const std::string&)> writeLog,
         std::function<void(const quarantine::CrashRecord&)> reportCrash = {},
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -34,7 +34,7 @@
         return static_cast<base::Rank>(std::min<std::uint32_t>(route.priority, base::RankCount - 1));
     }
 
-    // By the platform's protocol, callers wait as told up to a third of the time that they have left.
+    // By the platform's protocol, callers honour Retry-After up to a third of the time that they have left.
     constexpr int CallerPatienceDivisor = 3;
 
     // Of what the expected time is corrected by.
