Bound the pause of a learned limit below one

Cause (by reading): at 300 VMs the equal part of an upstream with 4 slots is 0.013, and a response of 1 s would have paused this VM for 75 s, long after the upstream is fast again. Change: the pause is 1 s at most. Test: ConcurrencyLimit/neverPausesForLong.

--- a/src/balancing/concurrencylimit.cpp
+++ b/src/balancing/concurrencylimit.cpp
@@ -13,6 +13,10 @@
 
     constexpr double DecreaseFactor = 0.6;
 
+    // Equal parts of hundreds of VMs are hundredths: by then most of them send nothing, and an upstream that is fast
+    // again must be noticed.
+    constexpr base::Duration MaxPause = std::chrono::seconds(1);
+
     // Added for each response in time while the limit is below its initial value and keeps nothing waiting: a VM that
     // has little to send would not notice otherwise that the upstream is fast again.
     constexpr double Recovery = 0.1;
@@ -53,7 +57,7 @@
 void ConcurrencyLimit::pauseAfter(base::Duration latency, base::TimePoint now)
 {
     if (limit_ < 1)
-        pausedUntil_ = now + std::chrono::duration_cast<base::Duration>(latency * (1 / limit_ - 1));
+        pausedUntil_ = now + std::min(MaxPause, std::chrono::duration_cast<base::Duration>(latency * (1 / limit_ - 1)));
 }
 
 bool ConcurrencyLimit::isSlow(base::Duration latency, base::Duration latencyGoal)
--- a/src/balancing/tests/concurrencylimittests.cpp
+++ b/src/balancing/tests/concurrencylimittests.cpp
@@ -235,6 +235,20 @@
     cr_expect_lt(limit.value(), before);
 }
 
+// Load pattern: hundreds of VMs, whose equal parts of the slots are hundredths.
+Test(ConcurrencyLimit, neverPausesForLong)
+{
+    ConcurrencyLimit limit;
+    limit.setBounds({ 0.01, 1, 2 });
+    base::TimePoint now = Start;
+    for (int request = 0; request < 20; ++request) {
+        limit.onAnswered(now, Goal, now + seconds(2));
+        now += seconds(2);
+        cr_expect(limit.waitTime(now) <= seconds(1));
+    }
+    cr_expect_lt(limit.value(), 0.02);
+}
+
 Test(ConcurrencyLimit, staysWithinNewBounds)
 {
     ConcurrencyLimit limit;
