Show that a reissued evacuation order is ignored

Cause: discovery/evacuations.cpp remembers an order that was taken back by its revision alone, and the store gives revisions out again after it has come back from an older copy. Change: a program that plays this in review/second.

--- a/review/second/caller.cpp
+++ b/review/second/caller.cpp
@@ -11,8 +11,11 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <cerrno>
 #include <optional>
 
+#include <sys/socket.h>
+
 namespace flamingousher::review {
 
 namespace beast = boost::beast;
@@ -28,6 +31,15 @@
     // Beyond the time limit, for an answer that is on its way.
     constexpr std::chrono::milliseconds Patience { 500 };
 
+    // Returns whether the VM has closed the connection while it was idle.
+    bool isEnded(beast::tcp_stream& stream)
+    {
+        char byte = 0;
+        const auto received
+            = ::recv(stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+        return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     http::Request makeRequest(const CallerSpec& spec, const std::string& id)
     {
         http::Request request { beast::http::string_to_verb(spec.method), spec.path + id, 11 };
@@ -57,6 +69,8 @@
     bool isKept = false;
     while (std::chrono::steady_clock::now() < until) {
         error_code error;
+        if (stream && isEnded(*stream))
+            stream.reset();
         if (!stream) {
             stream.emplace(io_);
             buffer.clear();
--- a/review/second/cases.cpp
+++ b/review/second/cases.cpp
@@ -7,7 +7,7 @@
     return {
         { "long-trailer", playLongTrailer },
         { "unnamed-refusal", playUnnamedRefusal },
-        { "full-bodies", playFullBodies },
+        { "reissued-order", playReissuedOrder },
     };
 }
 
--- a/review/second/cases.h
+++ b/review/second/cases.h
@@ -26,6 +26,6 @@
 // Each is described beside its definition.
 bool playLongTrailer(const CaseInput&);
 bool playUnnamedRefusal(const CaseInput&);
-bool playFullBodies(const CaseInput&);
+bool playReissuedOrder(const CaseInput&);
 
 } // namespace flamingousher::review
