Show that a long line behind a body in chunks ends the process

Cause: the fiber of an upstream's connection catches no exception, and the parser throws for a field of over 65,533 bytes behind the last chunk, which no header limit bounds.

--- a/review/second/caller.cpp
+++ b/review/second/caller.cpp
@@ -35,8 +35,7 @@
     bool isEnded(beast::tcp_stream& stream)
     {
         char byte = 0;
-        const auto received
-            = ::recv(stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+        const auto received = ::recv(stream.socket().native_handle(), &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
         return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
@@ -53,8 +52,8 @@
 
 } // namespace
 
-Caller::Caller(boost::asio::io_context& io, const CallerSpec& spec, Record& record,
-    std::map<std::string, Outcome>& outcomes)
+Caller::Caller(
+    boost::asio::io_context& io, const CallerSpec& spec, Record& record, std::map<std::string, Outcome>& outcomes)
     : io_(io)
     , spec_(spec)
     , record_(record)
@@ -98,6 +97,9 @@
         if (!readError) {
             outcome.status = response.result_int();
             outcome.stamp = http::readField(response, field::Stamp);
+            const auto parts = response.equal_range(field::PartStamps);
+            for (auto part = parts.first; part != parts.second; ++part)
+                outcome.partStamps += (outcome.partStamps.empty() ? "" : ",") + std::string(part->value());
         } else {
             outcome.isClosed = readError != beast::error::timeout;
         }
--- a/review/second/caller.h
+++ b/review/second/caller.h
@@ -28,14 +28,15 @@
 struct Outcome {
     unsigned status { 0 }; // 0: no answer
     std::string stamp;
+    std::string partStamps; // separated by commas
     bool isClosed { false }; // the connection ended without an answer
     bool isKept { false }; // the connection had carried an answer before
     double sentMs { 0 };
     double endedMs { 0 };
 };
 
-// Sends one request after the other over one connection, which it keeps and opens anew when it ends. A request that gets
-// no answer counts as ended; it is not sent again. Used on one thread.
+// Sends one request after the other over one connection, which it keeps and opens anew when it ends. A request that
+// gets no answer counts as ended; it is not sent again. Used on one thread.
 class Caller {
 public:
     Caller(boost::asio::io_context&, const CallerSpec&, Record&, std::map<std::string, Outcome>& outcomes);
--- a/review/second/cases.cpp
+++ b/review/second/cases.cpp
@@ -6,6 +6,7 @@
 {
     return {
         { "long-trailer", playLongTrailer },
+        { "unnamed-part", playUnnamedPart },
         { "unnamed-refusal", playUnnamedRefusal },
         { "reissued-order", playReissuedOrder },
     };
--- a/review/second/cases.h
+++ b/review/second/cases.h
@@ -25,6 +25,7 @@
 
 // Each is described beside its definition.
 bool playLongTrailer(const CaseInput&);
+bool playUnnamedPart(const CaseInput&);
 bool playUnnamedRefusal(const CaseInput&);
 bool playReissuedOrder(const CaseInput&);
 
--- a/review/second/longtrailer.cpp
+++ b/review/second/longtrailer.cpp
@@ -18,28 +18,34 @@
 
     constexpr std::size_t LineBytes = 70'000;
     constexpr std::size_t SpoiledInterval = 50; // one of this many answers: 0.02
-    constexpr seconds CalmTime { 6 };
-    constexpr seconds TroubleTime { 20 };
+    constexpr seconds CalmTime { 8 }; // more than stable-window-ms
+    constexpr seconds TroubleTime { 5 };
+    constexpr seconds RestTime { 5 };
     constexpr std::size_t CallersPerVm = 12; // of each service
     constexpr std::size_t AllowedLosses = 3;
     constexpr const char* Host = "hufi27.example";
 
     std::string makeSpoiledAnswer(const http::Request& request)
     {
-        return "HTTP/1.1 200 OK\r\nFlamingousher-Request-Id: "
-            + http::readField(request, "Flamingousher-Request-Id")
+        return "HTTP/1.1 200 OK\r\nFlamingousher-Request-Id: " + http::readField(request, "Flamingousher-Request-Id")
             + "\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n0\r\nx:" + std::string(LineBytes, 'x')
             + "\r\n\r\n";
     }
 
+    // Callers' names hold the number of their VM.
+    std::size_t vmOf(const std::string& requestId)
+    {
+        return static_cast<std::size_t>(requestId.at(1) - '0');
+    }
+
     routing::Route makeRoute(const std::string& service, const std::string& prefix)
     {
         return { .name = "r-" + service,
             .host = Host,
             .pathPrefix = prefix,
             .isIdempotent = true,
-            .timeout = milliseconds(2'500),
-            .goal = milliseconds(500),
+            .timeout = milliseconds(5'000),
+            .goal = milliseconds(1'000),
             .maxAttempts = 2,
             .services = { { service, 1 } } };
     }
@@ -49,9 +55,9 @@
 bool playLongTrailer(const CaseInput& input)
 {
     auto& world = *new World(input.io,
-        { .daemon = input.daemon, .folder = input.folder, .vmZones = { "nadi-a", "lautoka-b", "sigatoka-c" } },
+        { .daemon = input.daemon, .folder = input.folder, .vmZones = { "ahmedabad-a", "vadodara-b", "surat-c" } },
         input.record);
-    const std::vector<std::string> zones { "nadi-a", "lautoka-b", "sigatoka-c" };
+    const std::vector<std::string> zones { "ahmedabad-a", "vadodara-b", "surat-c" };
     for (const std::string& zone : zones)
         world.addSearcher("billing", zone, { .slots = 20, .queue = 20, .work = milliseconds(150) });
     Searcher* faulty = nullptr;
@@ -65,19 +71,19 @@
 
     std::map<std::string, Outcome> outcomes;
     const TimePoint begin = std::chrono::steady_clock::now();
-    const TimePoint end = begin + CalmTime + TroubleTime;
+    const TimePoint end = begin + CalmTime + TroubleTime + RestTime;
     for (std::size_t vm = 0; vm < world.vmCount(); ++vm) {
         for (std::size_t index = 0; index < CallersPerVm; ++index) {
             for (const bool isBilling : { true, false }) {
-                const CallerSpec spec { .name = (isBilling ? "b" : "r") + std::to_string(vm) + "-" + std::to_string(index),
+                const CallerSpec spec { .name
+                    = (isBilling ? "b" : "r") + std::to_string(vm) + "-" + std::to_string(index),
                     .vm = world.vm(vm).callers(),
                     .host = Host,
                     .path = isBilling ? "/goka902/" : "/rany330/",
-                    .timeLimit = milliseconds(2'500),
-                    .pause = milliseconds(isBilling ? 20 : 400) };
-                runtime::spawnFiber([&input, &outcomes, spec, end] {
-                    Caller(input.io, spec, input.record, outcomes).run(end);
-                });
+                    .timeLimit = milliseconds(5'000),
+                    .pause = milliseconds(isBilling ? 20 : 150) };
+                runtime::spawnFiber(
+                    [&input, &outcomes, spec, end] { Caller(input.io, spec, input.record, outcomes).run(end); });
             }
         }
     }
@@ -88,16 +94,20 @@
         faulty->spoil = [&](const http::Request& request) -> std::optional<std::string> {
             if (++answers % SpoiledInterval != 0)
                 return std::nullopt;
-            input.record.write(faulty->spec().id + " spoils its answer to "
-                + http::readField(request, "Flamingousher-Request-Id"));
+            input.record.write(
+                faulty->spec().id + " spoils its answer to " + http::readField(request, "Flamingousher-Request-Id"));
             return makeSpoiledAnswer(request);
         };
     }
-    runtime::sleepFor(input.io, TroubleTime + seconds(4));
+    runtime::sleepFor(input.io, TroubleTime);
+    faulty->spoil = nullptr;
+    input.record.write("from here on all answers are sound");
+    runtime::sleepFor(input.io, RestTime + seconds(6));
     std::size_t ends = 0;
     for (std::size_t vm = 0; vm < world.vmCount(); ++vm) {
         ends += world.vm(vm).endCount();
-        input.record.write(world.vm(vm).name() + " ended by itself " + std::to_string(world.vm(vm).endCount()) + " times");
+        input.record.write(
+            world.vm(vm).name() + " ended by itself " + std::to_string(world.vm(vm).endCount()) + " times");
     }
     world.stop();
 
@@ -108,12 +118,16 @@
             continue;
         for (const std::string& id : searcher->arrived()) {
             const Outcome& outcome = outcomes[id];
-            lost += outcome.isKept && outcome.isClosed ? 1 : 0;
+            // After the first end its process has not run for the whole stable-window-ms.
+            const bool isInTouch = outcome.sentMs < world.vm(vmOf(id)).firstEndMs();
+            lost += outcome.isKept && outcome.isClosed && isInTouch ? 1 : 0;
             served += outcome.status == 200 ? 1 : 0;
         }
     }
-    input.record.write("requests on kept connections that were passed on to the sound searchers of 'billing' and ended "
-                       "with a closed connection: " + std::to_string(lost) + "; served: " + std::to_string(served));
+    input.record.write("requests on kept connections that were passed on to the sound searchers of 'billing' and "
+                       "ended, until the first end of their VM, "
+                       "with a closed connection: "
+        + std::to_string(lost) + "; served: " + std::to_string(served));
     return lost > AllowedLosses;
 }
 
--- a/review/second/main.cpp
+++ b/review/second/main.cpp
@@ -31,8 +31,7 @@
     int result = 2;
     thread.call([&] {
         try {
-            const bool isBroken
-                = found->second({ thread.io(), FLAGS_daemon, FLAGS_folder, FLAGS_trouble, record });
+            const bool isBroken = found->second({ thread.io(), FLAGS_daemon, FLAGS_folder, FLAGS_trouble, record });
             result = isBroken ? 1 : 0;
         } catch (const std::exception& exception) {
             record.write(std::string("the case could not run: ") + exception.what());
--- a/review/second/reissuedorder.cpp
+++ b/review/second/reissuedorder.cpp
@@ -1,5 +1,5 @@
-// The operator evacuates an availability zone and takes the order back; the store comes back from a copy made before the
-// order; the operator evacuates the zone again. Counts the requests that still reach searchers of the zone.
+// The operator evacuates an availability zone and takes the order back; the store comes back from a copy made before
+// the order; the operator evacuates the zone again. Counts the requests that still reach searchers of the zone.
 
 #include "platform/standins/storeentries.h"
 #include "runtime/fiberthread.h"
@@ -30,8 +30,8 @@
 bool playReissuedOrder(const CaseInput& input)
 {
     const std::vector<std::string> zones { "ahmedabad-a", "vadodara-b", "surat-c" };
-    auto& world = *new World(
-        input.io, { .daemon = input.daemon, .folder = input.folder, .vmZones = zones }, input.record);
+    auto& world
+        = *new World(input.io, { .daemon = input.daemon, .folder = input.folder, .vmZones = zones }, input.record);
     std::vector<Searcher*> evacuated;
     for (const std::string& zone : zones) {
         Searcher& searcher = world.addSearcher("counter", zone, { .slots = 8, .work = milliseconds(10) });
@@ -52,8 +52,8 @@
     world.superviseProcesses();
 
     std::map<std::string, Outcome> outcomes;
-    const TimePoint end = std::chrono::steady_clock::now() + CalmTime + OrderTime + OrderTime + AwayTime + StableTime
-        + WatchTime;
+    const TimePoint end
+        = std::chrono::steady_clock::now() + CalmTime + OrderTime + OrderTime + AwayTime + StableTime + WatchTime;
     for (std::size_t vm = 0; vm < world.vmCount(); ++vm) {
         for (std::size_t index = 0; index < CallersPerVm; ++index) {
             const CallerSpec spec { .name = "q" + std::to_string(vm) + "-" + std::to_string(index),
@@ -107,8 +107,8 @@
         served += outcome.status == 200 ? 1 : 0;
     world.stop();
     input.record.write("requests that reached searchers of " + std::string(EvacuatedZone)
-        + " later than evacuate-ms after the order: " + std::to_string(late) + "; served in all: "
-        + std::to_string(served));
+        + " later than evacuate-ms after the order: " + std::to_string(late)
+        + "; served in all: " + std::to_string(served));
     return late > 0;
 }
 
--- a/review/second/unnamedrefusal.cpp
+++ b/review/second/unnamedrefusal.cpp
@@ -15,10 +15,13 @@
 namespace {
 
     constexpr std::size_t ExtraInterval = 33; // after one of this many answers: 0.03
-    constexpr seconds CalmTime { 5 };
-    constexpr seconds TroubleTime { 15 };
+    constexpr seconds CalmTime { 6 };
+    constexpr seconds TroubleTime { 5 };
+    constexpr seconds RestTime { 3 };
     constexpr std::size_t CallersPerVm = 6;
     constexpr const char* Host = "hufi27.example";
+
+    // As the wire examples of the bench print what a searcher sends that has no room.
     constexpr const char* Extra
         = "HTTP/1.1 503 Service Unavailable\r\nFlamingousher-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
@@ -26,9 +29,9 @@
 
 bool playUnnamedRefusal(const CaseInput& input)
 {
-    const std::vector<std::string> zones { "nadi-a", "lautoka-b", "sigatoka-c" };
-    auto& world = *new World(
-        input.io, { .daemon = input.daemon, .folder = input.folder, .vmZones = zones }, input.record);
+    const std::vector<std::string> zones { "ahmedabad-a", "vadodara-b", "surat-c" };
+    auto& world
+        = *new World(input.io, { .daemon = input.daemon, .folder = input.folder, .vmZones = zones }, input.record);
     Searcher* faulty = nullptr;
     for (const std::string& zone : zones)
         faulty = &world.addSearcher("ledger", zone, { .slots = 6, .work = milliseconds(30) });
@@ -37,8 +40,8 @@
             .host = Host,
             .pathPrefix = "/goka902/",
             .isIdempotent = false,
-            .timeout = milliseconds(2'500),
-            .goal = milliseconds(500),
+            .timeout = milliseconds(5'000),
+            .goal = milliseconds(1'000),
             .maxAttempts = 3,
             .services = { { "ledger", 1 } } } },
         .services = { { "ledger", 100 } } });
@@ -46,7 +49,7 @@
     world.superviseProcesses();
 
     std::map<std::string, Outcome> outcomes;
-    const TimePoint end = std::chrono::steady_clock::now() + CalmTime + TroubleTime;
+    const TimePoint end = std::chrono::steady_clock::now() + CalmTime + TroubleTime + RestTime;
     for (std::size_t vm = 0; vm < world.vmCount(); ++vm) {
         for (std::size_t index = 0; index < CallersPerVm; ++index) {
             const CallerSpec spec { .name = "w" + std::to_string(vm) + "-" + std::to_string(index),
@@ -54,7 +57,7 @@
                 .method = "POST",
                 .host = Host,
                 .path = "/goka902/",
-                .timeLimit = milliseconds(2'500),
+                .timeLimit = milliseconds(5'000),
                 .pause = milliseconds(40),
                 .bodyBytes = 300 };
             runtime::spawnFiber(
@@ -72,7 +75,9 @@
             return Extra;
         };
     }
-    runtime::sleepFor(input.io, TroubleTime + seconds(4));
+    runtime::sleepFor(input.io, TroubleTime);
+    faulty->sendBefore = nullptr;
+    runtime::sleepFor(input.io, RestTime + seconds(6));
     world.stop();
 
     std::map<std::string, std::uint32_t> runs;
@@ -93,8 +98,8 @@
             input.record.write(id + " was answered " + std::to_string(status) + " and has run");
         }
     }
-    input.record.write("requests that ran: " + std::to_string(runs.size()) + ", more than once: "
-        + std::to_string(twice) + ", answered as not run: " + std::to_string(refused));
+    input.record.write("requests that ran: " + std::to_string(runs.size())
+        + ", more than once: " + std::to_string(twice) + ", answered as not run: " + std::to_string(refused));
     return twice > 0;
 }
 
