Show that an eviction calls a connection that is gone

Cause: a failure that is forwarded keeps its charge in the request's state, whose evict hook holds the session of its caller by a plain pointer; a second attempt that is still in flight keeps that state alive longer than the session.

--- a/review/second/caller.cpp
+++ b/review/second/caller.cpp
@@ -61,6 +61,14 @@
 {
 }
 
+std::chrono::milliseconds Caller::patience()
+{
+    if (spec_.leavesWithin.count() == 0)
+        return spec_.timeLimit + Patience;
+    return std::chrono::milliseconds(
+        std::uniform_int_distribution<std::int64_t>(1, spec_.leavesWithin.count())(random_));
+}
+
 void Caller::run(TimePoint until)
 {
     std::optional<beast::tcp_stream> stream;
@@ -87,7 +95,7 @@
         outcome.isKept = isKept;
         outcome.sentMs = record_.elapsedMs();
         http::Request request = makeRequest(spec_, id);
-        stream->expires_after(spec_.timeLimit + Patience);
+        stream->expires_after(patience());
         beast::http::async_write(*stream, request, useFiber[error]);
         http::Response response;
         // An answer may precede the end of a long body.
--- a/review/second/caller.h
+++ b/review/second/caller.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <map>
+#include <random>
 #include <string>
 
 namespace flamingousher::review {
@@ -19,6 +20,7 @@
     std::chrono::milliseconds timeLimit { 2'000 };
     std::chrono::milliseconds pause { 0 }; // between an answer and the next request
     std::size_t bodyBytes { 0 };
+    std::chrono::milliseconds leavesWithin { 0 }; // closes its connection after some time up to this; 0: it stays
     bool isRecorded { true };
 
     bool operator==(const CallerSpec&) const = default;
@@ -45,11 +47,14 @@
     void run(TimePoint until);
 
 private:
+    std::chrono::milliseconds patience();
+
     boost::asio::io_context& io_;
     CallerSpec spec_;
     Record& record_;
     std::map<std::string, Outcome>& outcomes_; // by id
     std::size_t sent_ { 0 };
+    std::mt19937 random_ { std::random_device {}() };
 };
 
 } // namespace flamingousher::review
--- a/review/second/cases.cpp
+++ b/review/second/cases.cpp
@@ -5,6 +5,7 @@
 std::map<std::string, Case> makeCases()
 {
     return {
+        { "leaving-crowd", playLeavingCrowd },
         { "long-trailer", playLongTrailer },
         { "unnamed-part", playUnnamedPart },
         { "unnamed-refusal", playUnnamedRefusal },
--- a/review/second/cases.h
+++ b/review/second/cases.h
@@ -24,6 +24,7 @@
 std::map<std::string, Case> makeCases();
 
 // Each is described beside its definition.
+bool playLeavingCrowd(const CaseInput&);
 bool playLongTrailer(const CaseInput&);
 bool playUnnamedPart(const CaseInput&);
 bool playUnnamedRefusal(const CaseInput&);
--- a/review/second/searcher.cpp
+++ b/review/second/searcher.cpp
@@ -130,8 +130,11 @@
     const auto endsAt = std::chrono::steady_clock::now() + spec_.work;
     runtime::sleepFor(io_, std::min(endsAt, deadline) - std::chrono::steady_clock::now());
     --running_;
-    http::Response response
-        = makeResponse(request, endsAt <= deadline ? http::Status::ok : http::Status::gateway_timeout);
+    const bool isFailure = fails && fails(request);
+    http::Response response = makeResponse(request,
+        endsAt > deadline ? http::Status::gateway_timeout
+            : isFailure   ? http::Status::internal_server_error
+                          : http::Status::ok);
     http::setField(response, field::Stamp, makeStamp(spec_, id));
     response.body() = std::string(spec_.bodyBytes, 'r');
     response.prepare_payload();
--- a/review/second/searcher.h
+++ b/review/second/searcher.h
@@ -45,6 +45,9 @@
     // Returns bytes that are sent in place of the answer to a request that has run. May be empty.
     std::function<std::optional<std::string>(const http::Request&)> spoil;
 
+    // Returns whether the request fails: it runs and is answered 500. May be empty.
+    std::function<bool(const http::Request&)> fails;
+
     const SearcherSpec& spec() const { return spec_; }
     const std::map<std::string, std::uint32_t>& runs() const { return runs_; } // by id
     const std::set<std::string>& arrived() const { return arrived_; } // ids of all that was not for another searcher
