--- a/review/second/leavingcrowd.cpp
+++ b/review/second/leavingcrowd.cpp
@@ -19,7 +19,7 @@
 
     constexpr seconds CalmTime { 8 }; // more than stable-window-ms
     constexpr seconds TroubleTime { 9 };
-    constexpr std::size_t Troubles = 2;
+    constexpr std::size_t Troubles = 4;
     constexpr seconds RestTime { 6 }; // after each
     constexpr std::size_t FailingSearchers = 12; // of 15: a share of 0.8
     constexpr double FailingFraction = 0.6; // of their requests
