Obey an evacuation that is ordered again after a drill of the store

What callers saw: the operator evacuates a zone, takes the order back, the store comes back from a copy made before both, and the operator evacuates the zone again.

Cause: Evacuations remembered an order that was taken back by its revision, and ignored an order with the same one. After a drill revisions are given out again, so the new order had it. Two more effects of that memory: an order that was missing until it had expired was ignored when written again late, and a zone that had been evacuated a second time was given up if the copy held its first order.

Why this works: the copy can contain an order only if its revision is not beyond that of the restored store, so an order with a later one is new and obeyed at once. What may be in the copy is deferred and logged (evacuation_deferred) instead of ignored, until the operator has written everything again; what is still listed then is obeyed, and nothing is kept of the era before.

--- a/src/control/directcontroller.cpp
+++ b/src/control/directcontroller.cpp
@@ -7,15 +7,27 @@
     // Log lines per publication. A starting VM discovers all upstreams at once.
     constexpr std::size_t MaxLoggedChanges = 8;
 
+    const char* eventName(discovery::EvacuationChange change)
+    {
+        switch (change) {
+        case discovery::EvacuationChange::Began:
+            return "evacuation_began";
+        case discovery::EvacuationChange::Ended:
+            return "evacuation_ended";
+        case discovery::EvacuationChange::Deferred:
+            return "evacuation_deferred";
+        }
+        return "evacuation";
+    }
+
 } // namespace
 
 DirectController::DirectController(eventlog::EventLog& log, Hooks hooks)
     : log_(log)
     , hooks_(std::move(hooks))
     , registry_([this](const discovery::UpstreamEntry& entry, const char* change) { logChange(entry, change); })
-    , evacuations_([this](const discovery::EvacuationOrder& order, bool isActive) {
-        log_.writeChange(isActive ? "evacuation_began" : "evacuation_ended",
-            { { "zone", order.zone }, { "store_revision", order.revision } });
+    , evacuations_([this](const discovery::EvacuationOrder& order, discovery::EvacuationChange change) {
+        log_.writeChange(eventName(change), { { "zone", order.zone }, { "store_revision", order.revision } });
     })
 {
 }
@@ -78,11 +90,11 @@
     log_.writeChange("store_regained", { { "version", version_ } });
 }
 
-void DirectController::onStoreRestored()
+void DirectController::onStoreRestored(std::uint64_t revision)
 {
     mayBeRewritten_ = configuration_ != nullptr;
     registry_.onStoreRestored(hooks_.now());
-    evacuations_.onStoreRestored(hooks_.now());
+    evacuations_.onStoreRestored(revision, hooks_.now());
 }
 
 void DirectController::onDecodeError(const base::Error& error)
--- a/src/control/directcontroller.h
+++ b/src/control/directcontroller.h
@@ -34,8 +34,9 @@
     void onStoreUnavailable(const base::Error&);
     void onStoreAvailable();
 
-    // Called when the store has come back from an older copy: what is missing there is written again soon.
-    void onStoreRestored();
+    // Called when the store has come back from an older copy: what is missing there is written again soon. revision:
+    // of the restored store, not older than its copy.
+    void onStoreRestored(std::uint64_t revision);
     void onDecodeError(const base::Error&);
 
     // Applies the changes of upstreams and evacuations received since the last call. Upstreams of an evacuated zone are
--- a/src/control/tests/directcontrollertests.cpp
+++ b/src/control/tests/directcontrollertests.cpp
@@ -99,7 +99,7 @@
 {
     Harness harness;
     harness.controller.onConfiguration({ .version = 9 });
-    harness.controller.onStoreRestored();
+    harness.controller.onStoreRestored(6);
     harness.controller.onConfiguration({ .version = 6 });
     harness.controller.onConfiguration({ .version = 9 });
     cr_expect_eq(harness.versions, (std::vector<std::uint64_t> { 9 }));
@@ -109,3 +109,21 @@
     harness.controller.onConfiguration({ .version = 11, .services = { { "s", 7 } } });
     cr_expect_eq(harness.versions, (std::vector<std::uint64_t> { 9, 9, 11 }));
 }
+
+// Fault: an evacuation that was ordered again after the store's return was ignored.
+Test(DirectController, obeysEvacuationThatIsOrderedAgainAfterARestoration)
+{
+    Harness harness;
+    harness.controller.onAllUpstreams({ entry("1", "a"), entry("2", "b") });
+    harness.controller.onEvacuations({ { "b", 5 } });
+    harness.controller.tick();
+    harness.controller.onEvacuations({});
+    harness.controller.tick();
+    harness.controller.onStoreRestored(4);
+    harness.controller.onEvacuations({});
+    harness.now += std::chrono::seconds(20);
+    harness.controller.tick();
+    harness.controller.onEvacuations({ { "b", 5 } });
+    harness.controller.tick();
+    cr_assert_eq(harness.upstreamCounts, (std::vector<std::size_t> { 1, 2, 1 }));
+}
--- a/src/daemon/vmdaemon.cpp
+++ b/src/daemon/vmdaemon.cpp
@@ -186,7 +186,7 @@
             log_.writeChange("store_restored",
                 { { "era", after.era }, { "era_before", before.era }, { "revision", after.revision },
                     { "revision_before", before.revision }, { "version", controller_->version() } });
-            controller_->onStoreRestored();
+            controller_->onStoreRestored(after.revision);
         },
     };
 }
--- a/src/discovery/evacuations.cpp
+++ b/src/discovery/evacuations.cpp
@@ -16,6 +16,12 @@
 {
 }
 
+void Evacuations::report(const EvacuationOrder& order, EvacuationChange change)
+{
+    if (onChange_)
+        onChange_(order, change);
+}
+
 void Evacuations::begin(const EvacuationOrder& order, base::TimePoint now)
 {
     const auto [position, isNew] = active_.try_emplace(order.zone, Tracked { { order, now }, std::nullopt });
@@ -24,8 +30,7 @@
     if (!isNew)
         return;
     ++changes_;
-    if (onChange_)
-        onChange_(order, true);
+    report(order, EvacuationChange::Began);
 }
 
 void Evacuations::drop(std::map<std::string, Tracked>::iterator position)
@@ -34,8 +39,7 @@
     active_.erase(position);
     takenBack_[order.zone] = order.revision;
     ++changes_;
-    if (onChange_)
-        onChange_(order, false);
+    report(order, EvacuationChange::Ended);
 }
 
 void Evacuations::end(const std::string& zone, base::TimePoint now)
@@ -43,20 +47,30 @@
     const auto found = active_.find(zone);
     if (found == active_.end())
         return;
-    if (now >= rewritingUntil_)
+    if (!isRewriting(now))
         drop(found);
     else if (!found->second.expiresAt)
         found->second.expiresAt = rewritingUntil_;
 }
 
+// True as well for a new order that has got the revision of the old one between the restoration and the first read.
+bool Evacuations::mayHaveBeenTakenBack(const EvacuationOrder& order) const
+{
+    const auto found = takenBackBefore_.find(order.zone);
+    return found != takenBackBefore_.end() && found->second == order.revision && !active_.contains(order.zone);
+}
+
 void Evacuations::replaceAll(const std::vector<EvacuationOrder>& orders, base::TimePoint now)
 {
+    const std::map<std::string, EvacuationOrder> deferredBefore = std::exchange(deferred_, {});
     std::set<std::string> listed;
     for (const EvacuationOrder& order : orders) {
-        // A new order has a revision of its own, so this one was taken back after the store's copy had been made.
-        const auto takenBack = takenBack_.find(order.zone);
-        if (takenBack != takenBack_.end() && takenBack->second == order.revision)
+        if (isRewriting(now) && mayHaveBeenTakenBack(order)) {
+            deferred_[order.zone] = order;
+            if (!deferredBefore.contains(order.zone))
+                report(order, EvacuationChange::Deferred);
             continue;
+        }
         listed.insert(order.zone);
         begin(order, now);
     }
@@ -69,9 +83,13 @@
         end(zone, now);
 }
 
-void Evacuations::onStoreRestored(base::TimePoint now)
+void Evacuations::onStoreRestored(std::uint64_t revision, base::TimePoint now)
 {
     rewritingUntil_ = now + RewriteWindow;
+    for (const auto& [zone, orderRevision] : std::exchange(takenBack_, {}))
+        takenBackBefore_[zone] = orderRevision;
+    // The copy does not contain what was written after it was made; an order with such a revision is a new one.
+    std::erase_if(takenBackBefore_, [&](const auto& order) { return order.second > revision; });
 }
 
 void Evacuations::tick(base::TimePoint now)
@@ -81,6 +99,12 @@
         if (current->second.expiresAt && now >= *current->second.expiresAt)
             drop(current);
     }
+    if (isRewriting(now))
+        return;
+    // By now the operator has taken the old orders back once more, so what is still listed is meant to hold.
+    takenBackBefore_.clear();
+    for (const auto& [zone, order] : std::exchange(deferred_, {}))
+        begin(order, now);
 }
 
 std::vector<Evacuations::ActiveEvacuation> Evacuations::active() const
--- a/src/discovery/evacuations.h
+++ b/src/discovery/evacuations.h
@@ -20,23 +20,30 @@
     bool operator==(const EvacuationOrder&) const = default;
 };
 
+enum class EvacuationChange : std::uint8_t {
+    Began,
+    Ended,
+    Deferred, // the order is not obeyed yet: it may be one that was taken back before the store was restored
+};
+
 // Tracks the availability zones that the operator has taken out of service. Performs no I/O.
 // Failure pattern: the store comes back from an older copy. Orders written since are missing until the operator writes
-// them again, and ones taken back since are there again.
+// them again, ones taken back since are there again, and revisions are given out a second time.
 class Evacuations {
 public:
-    // Called when an evacuation begins or ends.
-    using ChangeListener = std::function<void(const EvacuationOrder&, bool isActive)>;
+    using ChangeListener = std::function<void(const EvacuationOrder&, EvacuationChange)>;
 
     explicit Evacuations(ChangeListener = {});
 
     // Replaces all orders by a complete list of the store.
     void replaceAll(const std::vector<EvacuationOrder>&, base::TimePoint now);
 
-    // Called when the store has come back from an older copy: orders may be missing until they are written again.
-    void onStoreRestored(base::TimePoint now);
+    // Called when the store has come back from an older copy, before its contents are passed on. Orders may be missing
+    // until they are written again. revision: of the restored store, not older than its copy.
+    void onStoreRestored(std::uint64_t revision, base::TimePoint now);
 
-    // Ends evacuations that were missing after a restoration and have not been written again in time.
+    // Ends evacuations that were missing after a restoration and have not been written again in time, and begins
+    // deferred ones that are still listed.
     void tick(base::TimePoint now);
 
     bool isEvacuated(const std::string& zone) const { return active_.contains(zone); }
@@ -59,13 +66,20 @@
         std::optional<base::TimePoint> expiresAt; // if the order is missing in the store
     };
 
+    using RevisionsByZone = std::map<std::string, std::uint64_t>;
+
+    bool isRewriting(base::TimePoint now) const { return now < rewritingUntil_; }
+    void report(const EvacuationOrder&, EvacuationChange);
     void begin(const EvacuationOrder&, base::TimePoint now);
     void end(const std::string& zone, base::TimePoint now);
     void drop(std::map<std::string, Tracked>::iterator);
+    bool mayHaveBeenTakenBack(const EvacuationOrder&) const;
 
     ChangeListener onChange_;
     std::map<std::string, Tracked> active_; // by zone
-    std::map<std::string, std::uint64_t> takenBack_; // revision of the last order for each zone that was taken back
+    std::map<std::string, EvacuationOrder> deferred_; // by zone; listed by the store
+    RevisionsByZone takenBack_; // last order for each zone that has ended since the last restoration
+    RevisionsByZone takenBackBefore_; // the same before it, if the store's copy may contain the order
     base::TimePoint rewritingUntil_; // after a restoration
     std::uint64_t changes_ { 0 };
 };
--- a/src/discovery/tests/evacuationstests.cpp
+++ b/src/discovery/tests/evacuationstests.cpp
@@ -10,6 +10,10 @@
 constexpr base::TimePoint Start { std::chrono::hours(1) };
 constexpr base::Duration AfterRewriting = std::chrono::seconds(3);
 
+// Of the restored store: a copy made before the order of a test, and one made after it.
+constexpr std::uint64_t CopyBeforeOrder = 40;
+constexpr std::uint64_t CopyWithOrder = 52;
+
 } // namespace
 
 Test(Evacuations, followsOrders)
@@ -38,7 +42,7 @@
 {
     Evacuations evacuations;
     evacuations.replaceAll({ { "a", 50 } }, Start);
-    evacuations.onStoreRestored(Start);
+    evacuations.onStoreRestored(CopyBeforeOrder, Start);
     evacuations.replaceAll({}, Start);
     evacuations.tick(Start + std::chrono::seconds(1));
     cr_expect(evacuations.isEvacuated("a"));
@@ -51,7 +55,7 @@
 {
     Evacuations evacuations;
     evacuations.replaceAll({ { "a", 50 } }, Start);
-    evacuations.onStoreRestored(Start);
+    evacuations.onStoreRestored(CopyBeforeOrder, Start);
     evacuations.replaceAll({}, Start);
     evacuations.tick(Start + AfterRewriting);
     cr_expect(!evacuations.isEvacuated("a"));
@@ -62,9 +66,70 @@
     Evacuations evacuations;
     evacuations.replaceAll({ { "a", 50 } }, Start);
     evacuations.replaceAll({}, Start);
-    evacuations.onStoreRestored(Start);
+    evacuations.onStoreRestored(CopyWithOrder, Start);
     evacuations.replaceAll({ { "a", 50 } }, Start);
     cr_expect(!evacuations.isEvacuated("a"));
     evacuations.replaceAll({ { "a", 53 } }, Start + AfterRewriting);
     cr_expect(evacuations.isEvacuated("a"), "a new order has another revision");
 }
+
+// Fault: a new order was ignored, as it had got the revision of one that was taken back before the store was restored.
+Test(Evacuations, obeysNewOrderWithTheRevisionOfAnOldOne)
+{
+    for (const base::Duration later : { base::Duration::zero(), AfterRewriting }) {
+        Evacuations evacuations;
+        evacuations.replaceAll({ { "a", 50 } }, Start);
+        evacuations.replaceAll({}, Start);
+        evacuations.onStoreRestored(CopyBeforeOrder, Start);
+        evacuations.replaceAll({}, Start);
+        evacuations.tick(Start + later);
+        evacuations.replaceAll({ { "a", 50 } }, Start + later);
+        cr_expect(evacuations.isEvacuated("a"));
+    }
+}
+
+// Fault: an order that was missing until it had expired was taken for one that was taken back.
+Test(Evacuations, obeysOrderThatIsWrittenAgainLate)
+{
+    Evacuations evacuations;
+    evacuations.replaceAll({ { "a", 50 } }, Start);
+    evacuations.onStoreRestored(CopyBeforeOrder, Start);
+    evacuations.replaceAll({}, Start);
+    evacuations.tick(Start + AfterRewriting);
+    cr_assert(!evacuations.isEvacuated("a"));
+    evacuations.replaceAll({ { "a", 50 } }, Start + AfterRewriting);
+    cr_expect(evacuations.isEvacuated("a"));
+}
+
+// Fault: an order that the store went on listing was never obeyed.
+Test(Evacuations, defersOrderThatMayHaveBeenTakenBack)
+{
+    std::vector<EvacuationChange> changes;
+    Evacuations evacuations([&](const EvacuationOrder&, EvacuationChange change) { changes.push_back(change); });
+    evacuations.replaceAll({ { "a", 50 }, { "b", 51 } }, Start);
+    evacuations.replaceAll({}, Start);
+    changes.clear();
+    evacuations.onStoreRestored(CopyWithOrder, Start);
+    evacuations.replaceAll({ { "a", 50 }, { "b", 51 } }, Start);
+    evacuations.replaceAll({ { "a", 50 } }, Start);
+    evacuations.tick(Start);
+    cr_expect(!evacuations.isEvacuated("a"));
+    evacuations.tick(Start + AfterRewriting);
+    cr_expect(evacuations.isEvacuated("a"), "it is still listed");
+    cr_expect(!evacuations.isEvacuated("b"), "it was taken back once more");
+    cr_expect_eq(
+        changes, (std::vector { EvacuationChange::Deferred, EvacuationChange::Deferred, EvacuationChange::Began }));
+}
+
+Test(Evacuations, keepsZoneEvacuatedWhenCopyHasAnEarlierOrder)
+{
+    Evacuations evacuations;
+    evacuations.replaceAll({ { "a", 50 } }, Start);
+    evacuations.replaceAll({}, Start);
+    evacuations.replaceAll({ { "a", 60 } }, Start);
+    evacuations.onStoreRestored(CopyWithOrder, Start);
+    evacuations.replaceAll({ { "a", 50 } }, Start);
+    evacuations.tick(Start + AfterRewriting);
+    cr_expect(evacuations.isEvacuated("a"));
+    cr_expect_eq(evacuations.changeCount(), 3);
+}
