End an attempt, not the process, on an oversized field

Cause: the fields of a message hold 65,533 bytes each. Beast reports other faults of a message as error codes, but throws std::length_error for a longer field. Its header limit does not bound the fields behind a chunked body, so a line of 70,000 bytes there reached the fields, and the exception left the fiber of the connection.

Change: http::MessageParser reports such a field as header_limit, and every reader of HTTP in the product uses it. Attempts that end by bytes that are no response are counted (attempts_invalid), and the parser's reason stands in the request's record.

Why this works: the override is the only place of the parser that stores fields, in the header and behind the body, and refuses what would throw.

--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -281,6 +281,7 @@
         gauge("upstream_connections", "Open connections to upstreams.", shared.directory.connectionCount());
         gauge("attempts_sent", "Attempts sent to upstreams.", counters.sent);
         gauge("attempts_lost", "Attempts lost because their connection was lost.", counters.lost);
+        gauge("attempts_invalid", "Attempts ended by bytes that are no valid response.", counters.invalid);
         gauge("attempts_broken_off", "Attempts cancelled because no response arrived in time.", counters.aborted);
         gauge("connections_opened", "Connections opened to upstreams.", counters.opened);
         gauge("connections_failed", "Connections to upstreams that failed to open.", counters.openFailed);
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -48,6 +48,7 @@
         sum.aborted += counters.aborted;
         sum.crashed += counters.crashed;
         sum.evicted += counters.evicted;
+        sum.invalid += counters.invalid;
     }
 
 } // namespace
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,10 +1,10 @@
 #include "http/client.h"
 
+#include "http/parser.h"
 #include "runtime/usefiber.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -41,7 +41,7 @@
         return tl::unexpected(
             Error { ErrorCode::ConnectionLost, Step::Send, peer, error.message(), RunState::Unknown });
     beast::flat_buffer buffer;
-    beast::http::response_parser<beast::http::string_body> parser;
+    ResponseParser parser;
     parser.body_limit(MaxResponseBytes);
     beast::http::async_read(stream, buffer, parser, useFiber[error]);
     if (error) {
--- a/src/http/internal/session.cpp
+++ b/src/http/internal/session.cpp
@@ -1,10 +1,10 @@
 #include "http/internal/session.h"
 
+#include "http/parser.h"
 #include "runtime/socketoptions.h"
 #include "runtime/usefiber.h"
 
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <boost/fiber/operations.hpp>
@@ -221,7 +221,7 @@
 
 error_code Session::readInto(std::optional<Request>& request)
 {
-    beast::http::request_parser<beast::http::string_body> parser;
+    RequestParser parser;
     parser.header_limit(static_cast<std::uint32_t>(state_->limits.headerBytes));
     parser.body_limit(state_->limits.bodyBytes);
     parser.eager(true);
--- a/src/http/tests/servertests.cpp
+++ b/src/http/tests/servertests.cpp
@@ -1,5 +1,6 @@
 #include "http/client.h"
 #include "http/errorguard.h"
+#include "http/parser.h"
 #include "http/server.h"
 #include "runtime/fiberthread.h"
 #include "runtime/sleep.h"
@@ -485,6 +486,26 @@
     });
 }
 
+// Fault: where the operator's limit allows it, a field that a message cannot hold ended the process.
+Test(HttpServer, refusesFieldsThatAMessageCannotHold)
+{
+    runtime::FiberThread thread("test");
+    thread.call([&] {
+        Server server(thread.io(), { .headerBytes = 4 * MaxFieldBytes }, echo);
+        server.listen(AnyPort);
+        const std::string field = "x: " + std::string(MaxFieldBytes + 1, 'x') + "\r\n\r\n";
+        sendBytes(thread.io(), server.localEndpoint(), "GET /a HTTP/1.1\r\nHost: h\r\n" + field);
+        sendBytes(thread.io(), server.localEndpoint(),
+            "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n" + field);
+        const auto response
+            = fetch(thread.io(), server.localEndpoint(), makeRequest(verb::get, "/a"), std::chrono::seconds(5));
+        cr_assert(response.has_value());
+        cr_expect_eq(server.counters().oversizedRequests, 2);
+        cr_expect_eq(server.counters().requests, 1);
+        return 0;
+    });
+}
+
 // Load pattern: bodies that stop just short of their end, until the budget of the process is spent.
 Test(HttpServer, refusesUnfinishedRequestThatHasToGiveWay)
 {
--- a/src/transport/upstreamlink.cpp
+++ b/src/transport/upstreamlink.cpp
@@ -1,6 +1,7 @@
 #include "transport/upstreamlink.h"
 
 #include "http/client.h"
+#include "http/parser.h"
 #include "runtime/connect.h"
 #include "runtime/fiberthread.h"
 #include "runtime/sleep.h"
@@ -8,7 +9,6 @@
 #include "runtime/usefiber.h"
 #include "transport/internal/connection.h"
 
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -249,7 +249,7 @@
         return tl::unexpected(
             Error { ErrorCode::ConnectionLost, Step::Send, peer, error.message(), RunState::Unknown });
     }
-    beast::http::response_parser<beast::http::string_body> parser;
+    http::ResponseParser parser;
     parser.body_limit(MaxResponseBytes);
     beast::http::async_read(connection.socket, connection.buffer, parser, useFiber[error]);
     if (error) {
@@ -474,15 +474,16 @@
     http::Request request = http::makeRequest(method, target);
     request.keep_alive(true);
     beast::http::async_write(connection->socket, request, useFiber[error]);
-    http::Response response;
+    http::ResponseParser parser;
     if (!error)
-        beast::http::async_read(connection->socket, connection->buffer, response, useFiber[error]);
+        beast::http::async_read(connection->socket, connection->buffer, parser, useFiber[error]);
     if (error || connection->isClosing) {
         connection->close();
         return tl::unexpected(Error {
             ErrorCode::ConnectionLost, Step::Receive, upstream_.endpoint(), error.message(), RunState::Unknown });
     }
     connection->lastProgress = hooks_.now();
+    http::Response response = parser.release();
     if (isStopping_ || !response.keep_alive())
         connection->close();
     else
--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -121,24 +121,29 @@
     if (!attempt_)
         return;
     if (error == boost::asio::error::eof && parser_ && parser_->got_some() && parser_->need_eof()) {
-        error_code parseError;
-        parser_->put_eof(parseError);
-        if (!parseError && parser_->is_done()) {
-            onResponse(parser_->release());
-            // It may be the answer to another request.
-            if (!attempt_)
-                return;
-        }
+        parseEnd();
+        // It may have been the answer to another request.
+        if (!attempt_)
+            return;
     }
     ++pool_->counters_.lost;
     if (closeReason_.empty() && error && mayHaveBeenSent_)
         pool_->onAttemptLost(*attempt_);
-    const std::string detail = !closeReason_.empty() ? closeReason_ : error ? error.message() : "invalid response";
     const bool isBroken = closeReason_.empty() && !error;
+    pool_->counters_.invalid += isBroken ? 1 : 0;
     const ErrorCode code = isEvicted_ ? ErrorCode::Overloaded
         : isBroken                    ? ErrorCode::ProtocolViolation
                                       : ErrorCode::ConnectionLost;
-    fail(code, Step::Receive, detail, mayHaveBeenSent_ ? RunState::Unknown : RunState::NotRun);
+    fail(code, Step::Receive, endReason(error), mayHaveBeenSent_ ? RunState::Unknown : RunState::NotRun);
+}
+
+std::string Connection::endReason(const error_code& error) const
+{
+    if (!closeReason_.empty())
+        return closeReason_;
+    if (error)
+        return error.message();
+    return invalidity_.empty() ? "invalid response" : "invalid response: " + invalidity_;
 }
 
 void Connection::start(const Attempt& attempt, AttemptCallback callback)
@@ -210,6 +215,16 @@
     close("the VM holds too many bytes of responses");
 }
 
+// Ends a response whose body is delimited by the end of the connection.
+bool Connection::parseEnd()
+{
+    error_code error;
+    parser_->put_eof(error);
+    if (error || !parser_->is_done())
+        return false;
+    return onResponse(parser_->release());
+}
+
 // Feeds received bytes to the parser. Returns false when the connection must not be reused.
 bool Connection::parseReceived()
 {
@@ -228,8 +243,10 @@
         buffer_.consume(parser_->put(buffer_.data(), error));
         if (error == beast::http::error::need_more)
             return true;
-        if (error)
+        if (error) {
+            invalidity_ = error.message();
             return false;
+        }
         if (!parser_->is_done())
             continue;
         const bool isReusable = onResponse(parser_->release());
--- a/src/upstreamclient/internal/connection.h
+++ b/src/upstreamclient/internal/connection.h
@@ -1,11 +1,10 @@
 #pragma once
 
+#include "http/parser.h"
 #include "upstreamclient/connectionpool.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <optional>
 
@@ -46,8 +45,6 @@
     base::TimePoint lastProgress() const { return lastProgress_; }
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
     bool connect();
     void write();
     void finishWrite(std::string rest);
@@ -55,20 +52,23 @@
     void charge(std::size_t bytes);
     void evict();
     bool parseReceived();
+    bool parseEnd();
     bool onResponse(http::Response&&);
     void finishAttempt(AttemptResult);
     void fail(base::ErrorCode, base::Step, const std::string& detail, base::RunState);
     bool isStale() const;
     void onReadEnded(const boost::system::error_code&);
+    std::string endReason(const boost::system::error_code&) const;
 
     std::shared_ptr<ConnectionPool> pool_;
     boost::asio::io_context& io_;
     boost::asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
-    std::optional<Parser> parser_;
+    std::optional<http::ResponseParser> parser_;
     std::optional<Attempt> attempt_;
     AttemptCallback callback_; // empty after the attempt is dropped
     std::string closeReason_;
+    std::string invalidity_; // why what has been received is no valid response
     boost::system::error_code connectError_;
     base::TimePoint openedAt_;
     base::TimePoint sentAt_;
--- a/src/upstreamclient/tests/connectionpooltests.cpp
+++ b/src/upstreamclient/tests/connectionpooltests.cpp
@@ -1,5 +1,6 @@
 #include "upstreamclient/connectionpool.h"
 
+#include "http/parser.h"
 #include "rawserver.h"
 #include "runtime/sleep.h"
 
@@ -292,6 +293,29 @@
     }
 }
 
+// Fault: a line behind the last chunk that is longer than a field can be ended the process.
+Test(ConnectionPool, endsAttemptOfAResponseWithAnOversizedField)
+{
+    const auto script = [](RawConnection& connection) {
+        const std::string id = idOf(connection.readHead());
+        if (id != "oversized") {
+            connection.write(makeAnswer(id));
+            return;
+        }
+        connection.write("HTTP/1.1 200 OK\r\nId: " + id + "\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nx:"
+            + std::string(http::MaxFieldBytes + 1, 'x') + "\r\n\r\n");
+        connection.pause(std::chrono::milliseconds(2'000));
+    };
+    withServer(script, [](Harness& harness) {
+        const AttemptResult result = harness.sendAndWait("oversized");
+        cr_assert(!result.has_value());
+        cr_expect(result.error().code == ErrorCode::ProtocolViolation);
+        cr_expect(result.error().runState == RunState::Unknown);
+        cr_expect_eq(harness.pool->counters().invalid, 1);
+        cr_expect(harness.sendAndWait("next").has_value());
+    });
+}
+
 // One byte now and then keeps a connection busy; the deadline ends the attempt.
 // Fault: responses were bounded each, but not together.
 Test(ConnectionPool, boundsTheBytesOfAllResponses)
