Contain exceptions in the fiber of an upstream's connection

Only handlers of callers' requests were guarded (http/errorguard).

Cause: nothing catches what leaves the fiber of a connection to an upstream or a delegate.

Change: an exception while received bytes are parsed, decoded or passed to the attempt's callback ends that connection and its attempt; it is counted (response_errors) and logged (unexpected_error) with the upstream. A request whose callback throws gets no other end than its deadline.

Why this works: all that an upstream sends is handled in one call from the reading loop, or in one at the end of the stream; both are guarded, and the connection closes by the way that every broken response takes.

Evidence: ConnectionPool/closesConnectionAfterUnexpectedError crashed without the guard and passes with it: a decoder that throws for a response of a stated length and for one that ends with its connection, and a callback that throws.

--- a/src/entry/entrythread.cpp
+++ b/src/entry/entrythread.cpp
@@ -282,6 +282,8 @@
         gauge("attempts_sent", "Attempts sent to upstreams.", counters.sent);
         gauge("attempts_lost", "Attempts lost because their connection was lost.", counters.lost);
         gauge("attempts_invalid", "Attempts ended by bytes that are no valid response.", counters.invalid);
+        gauge("response_errors", "Connections to upstreams closed by an unexpected error in handling a response.",
+            counters.unexpectedErrors);
         gauge("attempts_broken_off", "Attempts cancelled because no response arrived in time.", counters.aborted);
         gauge("connections_opened", "Connections opened to upstreams.", counters.opened);
         gauge("connections_failed", "Connections to upstreams that failed to open.", counters.openFailed);
--- a/src/entry/internal/delegates.cpp
+++ b/src/entry/internal/delegates.cpp
@@ -83,6 +83,9 @@
     };
     hooks.openCharge = [this, name = vm.id.endpoint](
                            std::function<void()> evict) { return memory_.open("delegate " + name, std::move(evict)); };
+    hooks.onUnexpectedError = [this, name = vm.id.endpoint](const std::string& reason) {
+        log_.writeDecision("unexpected_error", { { "delegate", name }, { "reason", reason } });
+    };
     delegates_.push_back(
         { vm.fanouts, std::make_shared<ConnectionPool>(io_, poolSettings(vm, endpoint, false), protocol_, hooks) });
     selector_.setUpstream(id, { vm.zone == settings_.zone ? base::Duration::zero() : CrossZonePenalty, 1 }, {});
--- a/src/entry/internal/directory.cpp
+++ b/src/entry/internal/directory.cpp
@@ -49,6 +49,7 @@
         sum.crashed += counters.crashed;
         sum.evicted += counters.evicted;
         sum.invalid += counters.invalid;
+        sum.unexpectedErrors += counters.unexpectedErrors;
     }
 
 } // namespace
@@ -175,6 +176,10 @@
                     { "started_at", entry(id).startedAt }, { "attempts", attempts } });
         },
         [this, id](std::function<void()> evict) { return openCharge(id, std::move(evict)); },
+        [this, id](const std::string& reason) {
+            log_.writeDecision("unexpected_error",
+                { { "upstream", entry(id).id }, { "endpoint", entry(id).endpoint }, { "reason", reason } });
+        },
     };
 }
 
--- a/src/upstreamclient/connectionpool.h
+++ b/src/upstreamclient/connectionpool.h
@@ -35,6 +35,10 @@
 
         // Returns the charge for the bytes of one response. evict ends its attempt. May be empty.
         std::function<balancing::MemoryBudget::Charge(std::function<void()> evict)> openCharge;
+
+        // Called with the text of an exception that was thrown while a response was handled. Its connection closes. May
+        // be empty.
+        std::function<void(const std::string& reason)> onUnexpectedError;
     };
 
     ConnectionPool(boost::asio::io_context&, const PoolSettings&, const UpstreamProtocol&, Hooks);
--- a/src/upstreamclient/internal/connection.cpp
+++ b/src/upstreamclient/internal/connection.cpp
@@ -101,7 +101,7 @@
         buffer_.commit(received);
         lastProgress_ = pool_->hooks_.now();
         attemptBytes_ += received;
-        if (isEvicted_ || !isWithinByteLimit() || !parseReceived())
+        if (isEvicted_ || !isWithinByteLimit() || !guardErrors([this] { return parseReceived(); }))
             break;
         // A body of announced length is allocated whole when its head has arrived.
         if (attempt_)
@@ -121,7 +121,7 @@
     if (!attempt_)
         return;
     if (error == boost::asio::error::eof && parser_ && parser_->got_some() && parser_->need_eof()) {
-        parseEnd();
+        guardErrors([this] { return parseEnd(); });
         // It may have been the answer to another request.
         if (!attempt_)
             return;
@@ -215,6 +215,20 @@
     close("the VM holds too many bytes of responses");
 }
 
+// An exception that escapes the fiber of a connection ends the process, with all requests in progress.
+bool Connection::guardErrors(const std::function<bool()>& handle)
+{
+    try {
+        return handle();
+    } catch (const std::exception& exception) {
+        invalidity_ = exception.what();
+        ++pool_->counters_.unexpectedErrors;
+        if (pool_->hooks_.onUnexpectedError)
+            pool_->hooks_.onUnexpectedError(invalidity_);
+        return false;
+    }
+}
+
 // Ends a response whose body is delimited by the end of the connection.
 bool Connection::parseEnd()
 {
--- a/src/upstreamclient/internal/connection.h
+++ b/src/upstreamclient/internal/connection.h
@@ -53,6 +53,7 @@
     void evict();
     bool parseReceived();
     bool parseEnd();
+    bool guardErrors(const std::function<bool()>& handle);
     bool onResponse(http::Response&&);
     void finishAttempt(AttemptResult);
     void fail(base::ErrorCode, base::Step, const std::string& detail, base::RunState);
--- a/src/upstreamclient/tests/connectionpooltests.cpp
+++ b/src/upstreamclient/tests/connectionpooltests.cpp
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <random>
+#include <stdexcept>
 
 using namespace flamingousher;
 using namespace flamingousher::upstreamclient;
@@ -27,6 +28,8 @@
         },
         [](http::Response&& response) {
             UpstreamReply reply;
+            if (response["Throw"].size() > 0)
+                throw std::runtime_error("a field that cannot be decoded");
             reply.requestId = std::string(response["Id"]);
             if (response["Idle"].size() > 0)
                 reply.idleTimeout = std::chrono::seconds(std::stoi(std::string(response["Idle"])));
@@ -67,7 +70,8 @@
               ConnectionPool::Hooks { [] { return std::chrono::steady_clock::now(); }, [this] { ++capacityEvents; },
                   [this](AttemptId, DroppedOutcome outcome) { droppedOutcomes.push_back(outcome); },
                   [this] { ++replacements; }, {}, {},
-                  [this](std::function<void()> evict) { return memory.open("u", std::move(evict)); } }))
+                  [this](std::function<void()> evict) { return memory.open("u", std::move(evict)); },
+                  [this](const std::string&) { ++unexpectedErrors; } }))
     {
     }
 
@@ -114,6 +118,7 @@
     int capacityEvents { 0 };
     int replacements { 0 };
     int crashes { 0 };
+    int unexpectedErrors { 0 };
     std::vector<DroppedOutcome> droppedOutcomes;
     AttemptId lastAttempt { 0 };
     std::shared_ptr<ConnectionPool> pool;
@@ -312,10 +317,40 @@
         cr_expect(result.error().code == ErrorCode::ProtocolViolation);
         cr_expect(result.error().runState == RunState::Unknown);
         cr_expect_eq(harness.pool->counters().invalid, 1);
+        cr_expect_eq(harness.pool->counters().unexpectedErrors, 0);
         cr_expect(harness.sendAndWait("next").has_value());
     });
 }
 
+// Fault: an exception while a response was handled ended the process.
+Test(ConnectionPool, closesConnectionAfterUnexpectedError)
+{
+    const auto script = [](RawConnection& connection) {
+        for (std::string head = connection.readHead(); !head.empty(); head = connection.readHead()) {
+            const std::string id = idOf(head);
+            const bool isSpoiled = id == "length" || id == "end";
+            connection.write("HTTP/1.1 200 OK\r\nId: " + id + "\r\n" + (isSpoiled ? "Throw: 1\r\n" : "")
+                + (id == "end" ? "\r\n" : "Content-Length: 0\r\n\r\n"));
+            if (id == "end") {
+                connection.close();
+                return;
+            }
+        }
+    };
+    withServer(script, [](Harness& harness) {
+        for (const char* id : { "length", "end" }) {
+            const AttemptResult result = harness.sendAndWait(id);
+            cr_assert(!result.has_value(), "%s", id);
+            cr_expect(result.error().runState == RunState::Unknown, "%s", id);
+        }
+        harness.send("callback", [](const AttemptResult&) { throw std::runtime_error("a callback that fails"); });
+        cr_expect(harness.eventually([&] { return harness.pool->counters().unexpectedErrors == 3; }));
+        cr_expect(harness.sendAndWait("next").has_value());
+        cr_expect_eq(harness.server.accepted(), 4);
+        cr_expect_eq(harness.unexpectedErrors, 3);
+    });
+}
+
 // One byte now and then keeps a connection busy; the deadline ends the attempt.
 // Fault: responses were bounded each, but not together.
 Test(ConnectionPool, boundsTheBytesOfAllResponses)
--- a/src/upstreamclient/types.h
+++ b/src/upstreamclient/types.h
@@ -112,6 +112,7 @@
     std::uint64_t crashed { 0 }; // times that the upstream ended while it may have run attempts
     std::uint64_t evicted { 0 }; // attempts ended since the VM held too many bytes of responses
     std::uint64_t invalid { 0 }; // attempts ended by bytes that are no valid response
+    std::uint64_t unexpectedErrors { 0 }; // connections closed by an exception while a response was handled
 };
 
 } // namespace flamingousher::upstreamclient
