Keep a lost evacuation until the operator could write it again

What callers saw, by reading: the store comes back from a copy without an evacuation that is in force, and goes away again, or is restored once more, before the operator has written the order again. 2.5 s after the first return the VMs ended the evacuation and sent requests to a zone that the operator had asked to leave alone.

Cause: the end of a missing order was fixed when it was found missing. An outage or a second restoration in between did not move it, while the registry of upstreams moves its own in both cases.

Change: an order is marked as missing, and all missing ones end when the time for writing again is over. That time is open while the store is away, and begins anew with its return and with each restoration. A store that was away without a restoration has lost nothing, so orders that it does not list any more end at once, as before.

Evidence: Evacuations/keepsLostOrderWhileStoreIsAway and /keepsLostOrderOverASecondRestoration failed with the two new calls doing nothing, and pass now. Evacuations/endsOrderAtOnceWhenStoreWasOnlyAway keeps the other case.

--- a/src/control/directcontroller.cpp
+++ b/src/control/directcontroller.cpp
@@ -81,12 +81,14 @@
 void DirectController::onStoreUnavailable(const base::Error& error)
 {
     registry_.onStoreUnavailable(hooks_.now());
+    evacuations_.onStoreUnavailable(hooks_.now());
     log_.writeChange("store_lost", { { "reason", toString(error) }, { "version", version_ } });
 }
 
 void DirectController::onStoreAvailable()
 {
     registry_.onStoreAvailable(hooks_.now());
+    evacuations_.onStoreAvailable(hooks_.now());
     log_.writeChange("store_regained", { { "version", version_ } });
 }
 
--- a/src/discovery/evacuations.cpp
+++ b/src/discovery/evacuations.cpp
@@ -24,9 +24,9 @@
 
 void Evacuations::begin(const EvacuationOrder& order, base::TimePoint now)
 {
-    const auto [position, isNew] = active_.try_emplace(order.zone, Tracked { { order, now }, std::nullopt });
+    const auto [position, isNew] = active_.try_emplace(order.zone, Tracked { { order, now }, false });
     position->second.evacuation.order = order;
-    position->second.expiresAt.reset();
+    position->second.isMissing = false;
     if (!isNew)
         return;
     ++changes_;
@@ -47,10 +47,10 @@
     const auto found = active_.find(zone);
     if (found == active_.end())
         return;
-    if (!isRewriting(now))
+    if (isRewriting(now))
+        found->second.isMissing = true;
+    else
         drop(found);
-    else if (!found->second.expiresAt)
-        found->second.expiresAt = rewritingUntil_;
 }
 
 // True as well for a new order that has got the revision of the old one between the restoration and the first read.
@@ -92,15 +92,27 @@
     std::erase_if(takenBackBefore_, [&](const auto& order) { return order.second > revision; });
 }
 
+void Evacuations::onStoreUnavailable(base::TimePoint now)
+{
+    if (isRewriting(now))
+        rewritingUntil_ = base::TimePoint::max();
+}
+
+void Evacuations::onStoreAvailable(base::TimePoint now)
+{
+    if (rewritingUntil_ == base::TimePoint::max())
+        rewritingUntil_ = now + RewriteWindow;
+}
+
 void Evacuations::tick(base::TimePoint now)
 {
+    if (isRewriting(now))
+        return;
     for (auto position = active_.begin(); position != active_.end();) {
         const auto current = position++;
-        if (current->second.expiresAt && now >= *current->second.expiresAt)
+        if (current->second.isMissing)
             drop(current);
     }
-    if (isRewriting(now))
-        return;
     // By now the operator has taken the old orders back once more, so what is still listed is meant to hold.
     takenBackBefore_.clear();
     for (const auto& [zone, order] : std::exchange(deferred_, {}))
--- a/src/discovery/evacuations.h
+++ b/src/discovery/evacuations.h
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -42,6 +41,11 @@
     // until they are written again. revision: of the restored store, not older than its copy.
     void onStoreRestored(std::uint64_t revision, base::TimePoint now);
 
+    // Called when no source of the store's contents responds any more, and when one does again. While none does, the
+    // operator's orders are not known, and orders that a restoration has lost stay in force.
+    void onStoreUnavailable(base::TimePoint now);
+    void onStoreAvailable(base::TimePoint now);
+
     // Ends evacuations that were missing after a restoration and have not been written again in time, and begins
     // deferred ones that are still listed.
     void tick(base::TimePoint now);
@@ -63,7 +67,7 @@
 private:
     struct Tracked {
         ActiveEvacuation evacuation;
-        std::optional<base::TimePoint> expiresAt; // if the order is missing in the store
+        bool isMissing { false }; // in the restored store; ends unless it is written again
     };
 
     using RevisionsByZone = std::map<std::string, std::uint64_t>;
@@ -80,7 +84,7 @@
     std::map<std::string, EvacuationOrder> deferred_; // by zone; listed by the store
     RevisionsByZone takenBack_; // last order for each zone that has ended since the last restoration
     RevisionsByZone takenBackBefore_; // the same before it, if the store's copy may contain the order
-    base::TimePoint rewritingUntil_; // after a restoration
+    base::TimePoint rewritingUntil_; // after a restoration; the maximum while the store is away again
     std::uint64_t changes_ { 0 };
 };
 
--- a/src/discovery/tests/evacuationstests.cpp
+++ b/src/discovery/tests/evacuationstests.cpp
@@ -73,6 +73,51 @@
     cr_expect(evacuations.isEvacuated("a"), "a new order has another revision");
 }
 
+// Fault: an order that a restored store had lost ended while the store was away again and nobody could write it.
+Test(Evacuations, keepsLostOrderWhileStoreIsAway)
+{
+    Evacuations evacuations;
+    evacuations.replaceAll({ { "a", 50 } }, Start);
+    evacuations.onStoreRestored(CopyBeforeOrder, Start);
+    evacuations.replaceAll({}, Start);
+    evacuations.onStoreUnavailable(Start + std::chrono::seconds(1));
+    const base::TimePoint back = Start + std::chrono::seconds(60);
+    evacuations.tick(back);
+    cr_expect(evacuations.isEvacuated("a"));
+    evacuations.onStoreAvailable(back);
+    evacuations.replaceAll({}, back);
+    evacuations.tick(back + std::chrono::seconds(1));
+    cr_expect(evacuations.isEvacuated("a"));
+    evacuations.tick(back + AfterRewriting);
+    cr_expect(!evacuations.isEvacuated("a"));
+}
+
+// Fault: the time to write a lost order again did not begin anew with a second restoration.
+Test(Evacuations, keepsLostOrderOverASecondRestoration)
+{
+    Evacuations evacuations;
+    evacuations.replaceAll({ { "a", 50 } }, Start);
+    evacuations.onStoreRestored(CopyBeforeOrder, Start);
+    evacuations.replaceAll({}, Start);
+    const base::TimePoint second = Start + std::chrono::seconds(2);
+    evacuations.onStoreRestored(CopyBeforeOrder, second);
+    evacuations.replaceAll({}, second);
+    evacuations.tick(second + std::chrono::seconds(1));
+    cr_expect(evacuations.isEvacuated("a"));
+    evacuations.tick(second + AfterRewriting);
+    cr_expect(!evacuations.isEvacuated("a"));
+}
+
+Test(Evacuations, endsOrderAtOnceWhenStoreWasOnlyAway)
+{
+    Evacuations evacuations;
+    evacuations.replaceAll({ { "a", 50 } }, Start);
+    evacuations.onStoreUnavailable(Start);
+    evacuations.onStoreAvailable(Start + AfterRewriting);
+    evacuations.replaceAll({}, Start + AfterRewriting);
+    cr_expect(!evacuations.isEvacuated("a"), "a store that was not restored has lost nothing");
+}
+
 // Fault: a new order was ignored, as it had got the revision of one that was taken back before the store was restored.
 Test(Evacuations, obeysNewOrderWithTheRevisionOfAnOldOne)
 {
