Let no hook of an exchange outlive it

Cause: the hooks of an exchange held their connection by a plain pointer. The charge of a forwarded failure got such a hook, and stayed in the request, which a second attempt keeps for 0.2 s after its caller has left. An eviction in that time called into freed memory, or cut the next request of a connection that lived on.

Change: the hooks hold a scope of their exchange weakly and do nothing after it.

Why this works: the scope ends when the response is written, before the connection reads another request or goes, so no copy of a hook can reach either, whoever keeps it and however long.

--- a/src/entry/internal/activerequest.h
+++ b/src/entry/internal/activerequest.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace flamingousher::entry {
@@ -43,8 +44,9 @@
     // Moves out the successful replies, in the order of the shards.
     std::vector<upstreamclient::UpstreamReply> takeReplies();
 
-    // Returns the last failure response of an upstream, if any. The caller may get it only if it is forwardable.
-    std::optional<upstreamclient::UpstreamReply>& failedReply() { return failedReply_; }
+    // Moves out the last failure response of an upstream, if any, with the bytes charged for it. The caller may get it
+    // only if it is forwardable.
+    std::optional<upstreamclient::UpstreamReply> takeFailedReply() { return std::exchange(failedReply_, std::nullopt); }
     const std::vector<RequestEvent>& events() const { return events_; }
 
     // Returns whether an attempt has failed that may have run.
--- a/src/entry/internal/requesthandler.cpp
+++ b/src/entry/internal/requesthandler.cpp
@@ -354,7 +354,8 @@
 http::Response RequestHandler::makeFailureResponse(
     const RoutedRequest& routed, ActiveRequest& active, const FinishFanout& result, http::Exchange& exchange)
 {
-    auto& failedReply = active.failedReply();
+    // An attempt that goes on keeps the request, but not what the caller gets of it.
+    auto failedReply = active.takeFailedReply();
     if (!routed.route.isFanout() && failedReply && failedReply->isForwardable)
         return forward(routed.request, *std::move(failedReply), exchange);
     const std::string reason = result.missing.empty() ? std::string() : result.missing.front().reason;
@@ -373,7 +374,7 @@
 
 // If the budget evicts a response that its caller has not read yet, the connection closes.
 http::Response RequestHandler::forward(
-    const http::Request& request, upstreamclient::UpstreamReply&& reply, http::Exchange& exchange)
+    const http::Request& request, upstreamclient::UpstreamReply reply, http::Exchange& exchange)
 {
     if (reply.memory) {
         reply.memory->setEvict(exchange.abort);
--- a/src/entry/internal/requesthandler.h
+++ b/src/entry/internal/requesthandler.h
@@ -65,7 +65,7 @@
     http::Response makeFailureResponse(
         const RoutedRequest&, ActiveRequest&, const fanout::FinishFanout&, http::Exchange&);
     // Passes a response on. Until it is written, its bytes count against the memory of the VM.
-    http::Response forward(const http::Request&, upstreamclient::UpstreamReply&&, http::Exchange&);
+    http::Response forward(const http::Request&, upstreamclient::UpstreamReply, http::Exchange&);
     // Refuses a request that is known to crash upstreams.
     http::Response refuseCrashing(const RoutedRequest&);
     http::Response refuse(const RoutedRequest&, const base::Error&, base::Duration retryAfter);
--- a/src/http/internal/session.cpp
+++ b/src/http/internal/session.cpp
@@ -272,15 +272,33 @@
     updateCharge(CopiesOfRequest * (headBytes(*request) + request->body().capacity()));
     ++state_->counters.requests;
     ++state_->requestsInProgress;
-    Exchange exchange { peer_, isFirst, runtime::roundTripTime(stream_.socket()),
-        [this] { sendInterimResponse(stream_.socket()); }, [this] { return hasPeerClosed(stream_.socket()); },
-        [this] { stream_.cancel(); }, {}, {}, {} };
+    const auto scope = std::make_shared<Session*>(this);
+    Exchange exchange = makeExchange(isFirst, scope);
     Response response = handle(*request, exchange);
     const bool isWritten = write(response, exchange);
     --state_->requestsInProgress;
     return isWritten && response.keep_alive();
 }
 
+// The hooks may be kept beyond the exchange, when the connection serves another request or is gone.
+Exchange Session::makeExchange(bool isFirst, const std::weak_ptr<Session*>& scope)
+{
+    Exchange exchange { peer_, isFirst, runtime::roundTripTime(stream_.socket()), {}, {}, {}, {}, {}, {} };
+    exchange.sendInterim = [scope] {
+        if (const auto session = scope.lock())
+            sendInterimResponse((*session)->stream_.socket());
+    };
+    exchange.isPeerGone = [scope] {
+        const auto session = scope.lock();
+        return !session || hasPeerClosed((*session)->stream_.socket());
+    };
+    exchange.abort = [scope] {
+        if (const auto session = scope.lock())
+            (*session)->stream_.cancel();
+    };
+    return exchange;
+}
+
 Response Session::handle(const Request& request, Exchange& exchange)
 {
     stream_.expires_never();
--- a/src/http/internal/session.h
+++ b/src/http/internal/session.h
@@ -41,6 +41,8 @@
     bool readRequestStart();
     std::optional<Request> readRequest();
     boost::system::error_code readInto(std::optional<Request>&);
+    // scope: exists until the response has been written.
+    Exchange makeExchange(bool isFirst, const std::weak_ptr<Session*>& scope);
     Response handle(const Request&, Exchange&);
     bool write(Response&, const Exchange&);
     void refuseUnread(const boost::system::error_code& cause);
--- a/src/http/tests/servertests.cpp
+++ b/src/http/tests/servertests.cpp
@@ -9,6 +9,10 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
 
 #include <criterion/criterion.h>
 
@@ -117,6 +121,49 @@
     cr_expect(isFreed);
 }
 
+// Fault: the hooks of an exchange referred to a connection that served another request, or was gone.
+Test(HttpServer, ignoresHooksOfAnEarlierExchange)
+{
+    runtime::FiberThread thread("test");
+    thread.call([&] {
+        Exchange earlier;
+        Server server(thread.io(), {}, [&](const Request& request, Exchange& exchange) {
+            if (request.target() == "/first") {
+                earlier = exchange;
+            } else {
+                earlier.abort();
+                earlier.sendInterim();
+                cr_expect(earlier.isPeerGone());
+                cr_expect(!exchange.isPeerGone());
+            }
+            return echo(request, exchange);
+        });
+        server.listen(AnyPort);
+        {
+            boost::beast::tcp_stream caller(thread.io());
+            boost::system::error_code error;
+            caller.async_connect(server.localEndpoint(), useFiber[error]);
+            boost::beast::flat_buffer buffer;
+            for (const char* target : { "/first", "/second" }) {
+                Request request = makeRequest(verb::get, target);
+                request.keep_alive(true);
+                boost::beast::http::async_write(caller, request, useFiber[error]);
+                Response response;
+                boost::beast::http::async_read(caller, buffer, response, useFiber[error]);
+                cr_expect(!error, "%s: %s", target, error.message().c_str());
+                cr_expect_eq(response.body(), target);
+            }
+        }
+        while (server.counters().open > 0)
+            runtime::sleepFor(thread.io(), std::chrono::milliseconds(1));
+        // The address sanitizer reports an access to the connection.
+        earlier.abort();
+        earlier.sendInterim();
+        cr_expect(earlier.isPeerGone());
+        return 0;
+    });
+}
+
 Test(HttpServer, staysUpAfterMalformedInput)
 {
     runtime::FiberThread thread("test");
--- a/src/http/types.h
+++ b/src/http/types.h
@@ -40,11 +40,12 @@
     std::string peer; // "address:port"
     bool isFirst { true }; // first request on its connection
     std::optional<std::chrono::microseconds> roundTrip; // empty when the kernel has no estimate
+    // The hooks that the server sets may be kept and called at any time. They do nothing after the exchange.
     // Set by the server; sends an interim response (102), which tells the peer that the request is being processed.
     std::function<void()> sendInterim;
     // Set by the server; returns whether the peer has already closed the connection.
     std::function<bool()> isPeerGone;
-    // Set by the server; closes the connection, also while the response is being written.
+    // Set by the server; closes the connection, also while the response is being written, but not once it is written.
     std::function<void()> abort;
     // Set by the handler; called after the response has been written to the socket.
     std::function<void()> onWritten;
