--- a/src/discovery/tests/evacuationstests.cpp
+++ b/src/discovery/tests/evacuationstests.cpp
@@ -73,7 +73,7 @@
     cr_expect(evacuations.isEvacuated("a"), "a new order has another revision");
 }
 
-// Fault: an order that a restored store had lost ended while the store was away again and nobody could write it.
+// Fault: an order that a restored store had lost ended while the store was away again and could not be written.
 Test(Evacuations, keepsLostOrderWhileStoreIsAway)
 {
     Evacuations evacuations;
