Add a case: requests inside the limits hang a VM

Cause: the Connection field of a request is parsed again for each of its fields, in the thread of all traffic.

--- /dev/null
+++ b/review/third/cases.cpp
@@ -0,0 +1,11 @@
+#include "cases.h"
+
+namespace review {
+
+const std::vector<Case>& allCases()
+{
+    static const std::vector<Case> cases { { "connection-names", runConnectionNames }, { "watch-cuts", runWatchCuts } };
+    return cases;
+}
+
+} // namespace review
