Add a case: a host with a slash passes the routes by

Cause: host and path are looked up as one string. Change: a script whose client names a part of a path in its Host field.

--- a/review/third/cases.cpp
+++ b/review/third/cases.cpp
@@ -4,7 +4,8 @@
 
 const std::vector<Case>& allCases()
 {
-    static const std::vector<Case> cases { { "connection-names", runConnectionNames }, { "watch-cuts", runWatchCuts } };
+    static const std::vector<Case> cases { { "connection-names", runConnectionNames }, { "watch-cuts", runWatchCuts },
+        { "host-with-path", runHostWithPath } };
     return cases;
 }
 
--- a/review/third/cases.h
+++ b/review/third/cases.h
@@ -21,6 +21,9 @@
 // The store cuts waiting watches while a searcher leaves without a word.
 int runWatchCuts(Record&, bool hasTrouble);
 
+// Callers name a host with a part of a path, for which there is no route.
+int runHostWithPath(Record&, bool hasTrouble);
+
 const std::vector<Case>& allCases();
 
 } // namespace review
