Add a case: HEAD requests keep ordinary callers out

Cause: the body that the head of an answer to HEAD announces is awaited until the deadline, and the upstream counts as slow for all requests.

--- a/review/third/cases.h
+++ b/review/third/cases.h
@@ -24,6 +24,9 @@
 // Callers name a host with a part of a path, for which there is no route.
 int runHostWithPath(Record&, bool hasTrouble);
 
+// A crowd sends HEAD requests.
+int runHeadRequests(Record&, bool hasTrouble);
+
 const std::vector<Case>& allCases();
 
 } // namespace review
--- a/review/third/world.cpp
+++ b/review/third/world.cpp
@@ -192,7 +192,8 @@
     return found == fields.end() ? std::string() : found->second;
 }
 
-std::optional<Message> readMessage(const Socket& socket, std::string& buffer, Clock::time_point deadline)
+std::optional<Message> readMessage(
+    const Socket& socket, std::string& buffer, Clock::time_point deadline, bool isAnswerToHead)
 {
     std::size_t end = 0;
     while ((end = buffer.find("\r\n\r\n")) == std::string::npos) {
@@ -213,7 +214,7 @@
                 = line.substr(std::min(line.size(), line.find_first_not_of(' ', colon + 1)));
     }
     const std::string length = message.field("Content-Length");
-    const std::size_t size = length.empty() ? 0 : std::stoul(length);
+    const std::size_t size = length.empty() || isAnswerToHead ? 0 : std::stoul(length);
     while (buffer.size() < size) {
         if (!socket.read(buffer, deadline))
             return std::nullopt;
@@ -377,9 +378,11 @@
             runs_.emplace_back(Clock::now(), id);
         }
         std::this_thread::sleep_for(work_);
-        const std::string response = makeResponse(
-            "Flamingousher-Request-Id: " + id + "\r\nFlamingousher-Response-Stamp: " + id_ + "." + id + "\r\n",
-            "answer of " + id_ + " to " + id);
+        const std::string body = "answer of " + id_ + " to " + id;
+        std::string response = makeResponse(
+            "Flamingousher-Request-Id: " + id + "\r\nFlamingousher-Response-Stamp: " + id_ + "." + id + "\r\n", body);
+        if (request->start.starts_with("HEAD "))
+            response.resize(response.size() - body.size());
         if (!socket.write(response, Clock::now() + IdleTime))
             return;
     }
@@ -479,7 +482,7 @@
         answer.outcome = "no connection";
     } else if (!socket->write(request, deadline)) {
         answer.outcome = "not sent";
-    } else if (auto message = readMessage(*socket, buffer, deadline)) {
+    } else if (auto message = readMessage(*socket, buffer, deadline, request.starts_with("HEAD "))) {
         answer.outcome = message->start.size() > 12 ? message->start.substr(9, 3) : "no status";
         answer.message = *std::move(message);
     } else {
--- a/review/third/world.h
+++ b/review/third/world.h
@@ -81,8 +81,10 @@
     std::string field(const std::string& name) const;
 };
 
-// Reads one message with a stated length. Bytes beyond it stay in the buffer.
-std::optional<Message> readMessage(const Socket&, std::string& buffer, Clock::time_point deadline);
+// Reads one message with a stated length. Bytes beyond it stay in the buffer. An answer to HEAD has no body, whatever
+// length it states.
+std::optional<Message> readMessage(
+    const Socket&, std::string& buffer, Clock::time_point deadline, bool isAnswerToHead = false);
 
 // Accepts connections and serves each in a thread of its own, until the process ends.
 void serve(const std::string& host, std::uint16_t port, std::function<void(Socket&)> handle);
