--- a/review/third/cases.h
+++ b/review/third/cases.h
@@ -18,7 +18,7 @@
 // A crowd sends requests inside the limits that list thousands of names in their Connection field.
 int runConnectionNames(Record&, bool hasTrouble);
 
-// The store cuts waiting watches while a searcher leaves without a word.
+// The store cuts waiting watches twice while a searcher leaves without a word.
 int runWatchCuts(Record&, bool hasTrouble);
 
 // Callers name a host with a part of a path, for which there is no route.
--- a/review/third/watchcuts.cpp
+++ b/review/third/watchcuts.cpp
@@ -9,7 +9,8 @@
 namespace {
 
     constexpr milliseconds DrainTime { 3'000 }; // drain-ms
-    constexpr milliseconds CutInterval { 3'000 };
+    constexpr milliseconds FirstCutLead { 500 }; // before the removal
+    constexpr milliseconds CutInterval { 3'000 }; // between the first and the second cut
     constexpr milliseconds TimeLimit { 3'000 };
     constexpr milliseconds ServesOn { 10'000 }; // the searcher that leaves, after its entry has been removed
     constexpr int Callers = 6;
@@ -32,13 +33,6 @@
         vms.push_back(std::make_unique<Vm>(number, "z" + std::to_string(number), folder.path()));
     for (const auto& vm : vms)
         vm->awaitReady();
-    if (hasTrouble)
-        std::thread([&store] {
-            for (;;) {
-                std::this_thread::sleep_for(CutInterval);
-                store.cutWatches();
-            }
-        }).detach();
     std::this_thread::sleep_for(milliseconds(6'000));
 
     std::atomic<bool> isOver { false };
@@ -59,11 +53,17 @@
     }
     std::this_thread::sleep_for(milliseconds(2'000));
     Searcher& leaving = *searchers.front();
+    if (hasTrouble)
+        store.cutWatches();
+    std::this_thread::sleep_for(FirstCutLead);
     store.erase("servers/" + leaving.id());
     const auto acknowledged = Clock::now();
     record.write(
         "the store has removed the entry of " + leaving.id() + "; watches cut so far: " + std::to_string(store.cuts()));
-    std::this_thread::sleep_for(ServesOn);
+    std::this_thread::sleep_until(acknowledged + CutInterval - FirstCutLead);
+    if (hasTrouble)
+        store.cutWatches();
+    std::this_thread::sleep_until(acknowledged + ServesOn);
     isOver = true;
     for (std::thread& caller : callers)
         caller.join();
