Let runs of the third review's cases share a machine

Cause: the network of loopback addresses was drawn from the process id; of 24 runs, four at a time, one ended with status 2 as another run held it. Change: a run reserves a network whose addresses are free.

--- a/review/third/world.cpp
+++ b/review/third/world.cpp
@@ -98,9 +98,57 @@
         return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
+    // Returns a listening socket, or -1 if the address is in use.
+    int listenAt(const std::string& host, std::uint16_t port)
+    {
+        const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        const int on = 1;
+        ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        const sockaddr_in own = socketAddress(host, port);
+        if (::bind(listener, reinterpret_cast<const sockaddr*>(&own), sizeof(own)) == 0 && ::listen(listener, 512) == 0)
+            return listener;
+        ::close(listener);
+        return -1;
+    }
+
+    bool isFree(const std::string& host, std::uint16_t port)
+    {
+        const int listener = listenAt(host, port);
+        if (listener >= 0)
+            ::close(listener);
+        return listener >= 0;
+    }
+
+    // Another run of these cases holds the same address, so the first test of a network reserves it.
+    bool reserve(int number)
+    {
+        const std::string prefix = "127." + std::to_string(number) + ".";
+        const int reservation = listenAt(prefix + "9.9", Store::Port);
+        if (reservation < 0)
+            return false;
+        bool areFree = isFree(prefix + "1.1", Store::Port);
+        for (int index = 1; index <= 9; ++index) {
+            areFree = areFree && isFree(prefix + "3." + std::to_string(index), Searcher::Port);
+            for (const std::uint16_t port : { 7740, 8224, 8226, 8227, 9180 })
+                areFree = areFree && isFree(prefix + "2." + std::to_string(index), port);
+        }
+        if (!areFree)
+            ::close(reservation);
+        return areFree; // the reservation ends with this process
+    }
+
     int network()
     {
-        static const int number = 20 + static_cast<int>(::getpid() % 200);
+        static const int number = [] {
+            constexpr int First = 20;
+            constexpr int Count = 200;
+            for (int attempt = 0; attempt < Count; ++attempt) {
+                const int candidate = First + (static_cast<int>(::getpid()) + attempt) % Count;
+                if (reserve(candidate))
+                    return candidate;
+            }
+            throw SetupError { "no free loopback addresses" };
+        }();
         return number;
     }
 
@@ -226,11 +274,8 @@
 
 void serve(const std::string& host, std::uint16_t port, std::function<void(Socket&)> handle)
 {
-    const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const int on = 1;
-    ::setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    const sockaddr_in own = socketAddress(host, port);
-    if (::bind(listener, reinterpret_cast<const sockaddr*>(&own), sizeof(own)) != 0 || ::listen(listener, 512) != 0)
+    const int listener = listenAt(host, port);
+    if (listener < 0)
         throw SetupError { "cannot listen at " + host + ":" + std::to_string(port) };
     std::thread([listener, handle = std::move(handle)] {
         for (;;) {
